--- /dev/null
+++ b/src/routing/replica-ages.ts
@@ -0,0 +1,131 @@
+/** Measures the age of each replica's data on one monotonic clock. */
+import {covers, type Position} from '../session/position.js';
+
+const DEFAULT_MAX_SAMPLES = 256;
+
+/** The primary was at `position` at time `at` or later. */
+interface Sample {
+  readonly at: number;
+  readonly position: Position;
+}
+
+interface Replica {
+  applied: Position;
+  /** How long after the primary it reached `applied`, estimated. */
+  lagMs: number;
+}
+
+/**
+ * Keeps samples of a primary's position and derives from them how old each
+ * replica's data is at most.
+ *
+ * A sample of term t counts only up to the time at which a majority of the
+ * group's databases was seen unfenced above t: until then no newer primary can
+ * have existed whose writes the sample misses.
+ */
+export class ReplicaAges {
+  readonly #majority: number;
+  readonly #maxSamples: number;
+  readonly #samples: Sample[] = [];
+  readonly #unfencedAt = new Map<string, number>();
+  readonly #replicas = new Map<string, Replica>();
+  #term = 0;
+
+  /** @param databaseCount The number of databases of the group. */
+  constructor(databaseCount: number, maxSamples = DEFAULT_MAX_SAMPLES) {
+    this.#majority = Math.floor(databaseCount / 2) + 1;
+    this.#maxSamples = maxSamples;
+  }
+
+  /**
+   * Notes that the primary of `term` was at `position`, as learned by a call
+   * sent at `at`.
+   */
+  recordPrimary(term: number, position: Position, at: number): void {
+    if (term < this.#term) return;
+    this.#startTerm(term);
+    const last = this.#samples.at(-1);
+    if (last !== undefined && last.at > at) return;
+    if (last !== undefined && !covers(position, last.position)) return;
+    this.#samples.push({at, position});
+    if (this.#samples.length > this.#maxSamples) this.#thin();
+  }
+
+  /**
+   * Notes that a database, the primary included, was not fenced above `term`,
+   * as learned by a call sent at `at`.
+   */
+  recordUnfenced(databaseId: string, term: number, at: number): void {
+    if (term < this.#term) return;
+    this.#startTerm(term);
+    const known = this.#unfencedAt.get(databaseId) ?? -Infinity;
+    this.#unfencedAt.set(databaseId, Math.max(known, at));
+  }
+
+  /** Notes that a replica had applied `position` when it answered at `at`. */
+  recordReplica(databaseId: string, applied: Position, at: number): void {
+    const known = this.#replicas.get(databaseId);
+    if (known !== undefined && !covers(applied, known.applied)) return;
+    const reachedAt = this.#primaryReachedAt(applied);
+    const lagMs =
+      reachedAt === undefined
+        ? (known?.lagMs ?? Infinity)
+        : Math.max(0, at - reachedAt);
+    this.#replicas.set(databaseId, {applied, lagMs});
+  }
+
+  /** What a replica is known to have applied. */
+  appliedOf(databaseId: string): Position | undefined {
+    return this.#replicas.get(databaseId)?.applied;
+  }
+
+  /**
+   * The age of a replica's data at most, or Infinity if nothing bounds it.
+   *
+   * @example
+   * if (ages.ageMs('claims-2', clock.now()) <= staleMs) { ... }
+   */
+  ageMs(databaseId: string, now: number): number {
+    const replica = this.#replicas.get(databaseId);
+    if (replica === undefined) return Infinity;
+    const verifiedAt = this.#verifiedAt();
+    const covered = this.#samples.findLast(
+      ({at, position}) => at <= verifiedAt && covers(replica.applied, position),
+    );
+    return covered === undefined ? Infinity : now - covered.at;
+  }
+
+  /** How long until a replica is expected to have applied `position`. */
+  expectedWaitMs(databaseId: string, position: Position, now: number): number {
+    const replica = this.#replicas.get(databaseId);
+    if (replica === undefined) return Infinity;
+    if (covers(replica.applied, position)) return 0;
+    const reachedAt = this.#primaryReachedAt(position) ?? now;
+    return Math.max(0, reachedAt + replica.lagMs - now);
+  }
+
+  #startTerm(term: number): void {
+    if (term === this.#term) return;
+    this.#term = term;
+    this.#samples.length = 0;
+    this.#unfencedAt.clear();
+  }
+
+  /** Up to when a majority was seen unfenced. */
+  #verifiedAt(): number {
+    const times = [...this.#unfencedAt.values()].sort((a, b) => b - a);
+    return times[this.#majority - 1] ?? -Infinity;
+  }
+
+  /** The first time at which the primary is known to have covered it. */
+  #primaryReachedAt(position: Position): number | undefined {
+    return this.#samples.find(sample => covers(sample.position, position))?.at;
+  }
+
+  /** Drops every other sample of the older half. */
+  #thin(): void {
+    const half = Math.floor(this.#samples.length / 2);
+    const older = this.#samples.splice(0, half);
+    this.#samples.unshift(...older.filter((_, index) => index % 2 === 0));
+  }
+}
