--- /dev/null
+++ b/src/rollout/keys.ts
@@ -0,0 +1,101 @@
+/**
+ * Callers' keys: how they are made, kept and checked.
+ *
+ * A key's secret holds 256 random bits, so no guesser can search it and a
+ * plain salted SHA-256 is enough; a slow hash would only cost each connection.
+ */
+import {createHash, randomBytes, timingSafeEqual} from 'node:crypto';
+
+const ID_BYTES = 8;
+const SECRET_BYTES = 32;
+const SALT_BYTES = 16;
+const KEY_PATTERN = /^zk_([0-9a-f]{16})_([A-Za-z0-9_-]{43})$/;
+
+/** What is kept of a key; never the key itself. */
+export interface KeyRecord {
+  readonly id: string;
+  readonly team: string;
+  /** Base64url of 16 random bytes. */
+  readonly salt: string;
+  /** Base64url of SHA-256 over the salt and the secret. */
+  readonly hash: string;
+  /** Milliseconds since the Unix epoch. */
+  readonly grantedAt: number;
+}
+
+/** A key that was withdrawn, remembered for a clear refusal. */
+export interface WithdrawnKey {
+  readonly id: string;
+  readonly team: string;
+  readonly atVersion: number;
+}
+
+/** Finds keys by id. */
+export interface KeyIndex {
+  findKey(id: string): KeyRecord | undefined;
+  findWithdrawnKey(id: string): WithdrawnKey | undefined;
+}
+
+/** A new key: the text goes to its holder once, the record is kept. */
+export interface NewKey {
+  readonly text: string;
+  readonly record: KeyRecord;
+}
+
+/** What a presented key is. */
+export type KeyCheck =
+  | {readonly kind: 'valid'; readonly team: string; readonly keyId: string}
+  | {readonly kind: 'unknown'}
+  | {
+      readonly kind: 'withdrawn';
+      readonly keyId: string;
+      readonly atVersion: number;
+    };
+
+/**
+ * Makes a key for a team.
+ *
+ * @example
+ * const {text, record} = createKey('assessors', Date.now());
+ */
+export function createKey(team: string, grantedAt: number): NewKey {
+  const id = randomBytes(ID_BYTES).toString('hex');
+  const secret = randomBytes(SECRET_BYTES).toString('base64url');
+  const salt = randomBytes(SALT_BYTES).toString('base64url');
+  const hash = hashSecret(salt, secret).toString('base64url');
+  return {
+    text: `zk_${id}_${secret}`,
+    record: {id, team, salt, hash, grantedAt},
+  };
+}
+
+/**
+ * Checks a presented key in constant time with respect to its secret.
+ *
+ * @example
+ * const check = verifyKey(document, text);
+ * if (check.kind === 'valid') admit(check.team);
+ */
+export function verifyKey(keys: KeyIndex, text: string): KeyCheck {
+  const match = KEY_PATTERN.exec(text);
+  if (match === null) return {kind: 'unknown'};
+  const [, id = '', secret = ''] = match;
+  const withdrawn = keys.findWithdrawnKey(id);
+  if (withdrawn !== undefined) {
+    return {kind: 'withdrawn', keyId: id, atVersion: withdrawn.atVersion};
+  }
+  const record = keys.findKey(id);
+  if (record === undefined) return {kind: 'unknown'};
+  const kept = Buffer.from(record.hash, 'base64url');
+  const presented = hashSecret(record.salt, secret);
+  if (kept.length !== presented.length) return {kind: 'unknown'};
+  if (!timingSafeEqual(kept, presented)) return {kind: 'unknown'};
+  return {kind: 'valid', team: record.team, keyId: id};
+}
+
+function hashSecret(salt: string, secret: string): Buffer {
+  return createHash('sha256')
+    .update(Buffer.from(salt, 'base64url'))
+    .update(secret)
+    .digest();
+}
--- /dev/null
+++ b/test/fakes/memory-store.ts
@@ -0,0 +1,192 @@
+/** A store in memory, with faults on demand, for tests under virtual time. */
+import type {Clock} from '../../src/platform/clock.js';
+import {
+  StoreError,
+  type Store,
+  type StoredValue,
+  type SwapResult,
+  type WatchEvent,
+  type WatchItem,
+} from '../../src/platform/store.js';
+
+const PROGRESS_INTERVAL_MS = 500;
+
+/** A change that wins the race against the next compare-and-swap of a key. */
+export type Interference = (current: string | undefined) => string;
+
+/**
+ * A store in memory.
+ *
+ * @example
+ * const store = new MemoryStore(clock);
+ * store.loseAnswers(1); // the next write takes effect, then throws `unknown`
+ * store.down = true; // every call throws `notSent`, watches end
+ */
+export class MemoryStore implements Store {
+  /** While true, calls throw and watches end. */
+  down = false;
+  /** How long each call takes. */
+  latencyMs = 0;
+  /** Calls so far, by method. */
+  readonly calls = new Map<string, number>();
+
+  readonly #clock: Clock;
+  readonly #values = new Map<string, StoredValue>();
+  readonly #history: WatchEvent[] = [];
+  readonly #leases = new Map<string, {ttlMs: number; endsAt: number}>();
+  readonly #interferences: {key: string; change: Interference}[] = [];
+  #revision = 0;
+  #nextLease = 1;
+  #lostAnswers = 0;
+  #lostRequests = 0;
+  #wakeWatches = new AbortController();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** The store-wide revision. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Lets the next `count` writes take effect and throw `unknown`. */
+  loseAnswers(count: number): void {
+    this.#lostAnswers += count;
+  }
+
+  /** Lets the next `count` writes throw `unknown` without taking effect. */
+  loseRequests(count: number): void {
+    this.#lostRequests += count;
+  }
+
+  /** Lets another writer change `key` just before its next compare-and-swap. */
+  interfere(key: string, change: Interference): void {
+    this.#interferences.push({key, change});
+  }
+
+  /** Writes a key unconditionally, without faults; for set-up. */
+  put(key: string, value: string): number {
+    this.#revision += 1;
+    const revision = this.#revision;
+    this.#values.set(key, {key, value, revision});
+    this.#record({key, value, revision});
+    return revision;
+  }
+
+  /** Deletes a key, without faults. */
+  delete(key: string): void {
+    if (!this.#values.delete(key)) return;
+    this.#revision += 1;
+    this.#record({key, value: undefined, revision: this.#revision});
+  }
+
+  async get(key: string): Promise<StoredValue | undefined> {
+    await this.#enter('get');
+    return this.#values.get(key);
+  }
+
+  async list(prefix: string): Promise<readonly StoredValue[]> {
+    await this.#enter('list');
+    return [...this.#values.values()]
+      .filter(entry => entry.key.startsWith(prefix))
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+  }
+
+  async compareAndSwap(
+    key: string,
+    expected: number,
+    value: string,
+  ): Promise<SwapResult> {
+    await this.#enter('compareAndSwap');
+    if (this.#lostRequests > 0) {
+      this.#lostRequests -= 1;
+      throw new StoreError('unknown', 'the request was lost');
+    }
+    this.#applyInterference(key);
+    const current = this.#values.get(key);
+    const matches = (current?.revision ?? 0) === expected;
+    const result: SwapResult = matches
+      ? {kind: 'swapped', revision: this.put(key, value)}
+      : {kind: 'conflict', current};
+    this.#maybeLoseAnswer();
+    return result;
+  }
+
+  async *watch(
+    prefix: string,
+    fromRevision: number,
+    signal: AbortSignal,
+  ): AsyncIterable<WatchItem> {
+    await this.#enter('watch');
+    let next = fromRevision > 0 ? fromRevision : this.#revision + 1;
+    while (!signal.aborted) {
+      this.#failWhenDown();
+      const events = this.#history.filter(
+        event => event.revision >= next && event.key.startsWith(prefix),
+      );
+      next = Math.max(next, this.#revision + 1);
+      if (events.length > 0) yield {kind: 'events', events};
+      else yield {kind: 'progress', revision: this.#revision};
+      if (this.#revision >= next) continue;
+      await this.#waitForChange(signal);
+    }
+  }
+
+  async grantLease(ttlMs: number): Promise<string> {
+    await this.#enter('grantLease');
+    const id = String(this.#nextLease);
+    this.#nextLease += 1;
+    this.#leases.set(id, {ttlMs, endsAt: this.#clock.now() + ttlMs});
+    return id;
+  }
+
+  async keepAlive(leaseId: string): Promise<boolean> {
+    await this.#enter('keepAlive');
+    const lease = this.#leases.get(leaseId);
+    if (lease === undefined || lease.endsAt <= this.#clock.now()) return false;
+    lease.endsAt = this.#clock.now() + lease.ttlMs;
+    return true;
+  }
+
+  async revokeLease(leaseId: string): Promise<void> {
+    await this.#enter('revokeLease');
+    this.#leases.delete(leaseId);
+  }
+
+  async #enter(method: string): Promise<void> {
+    this.calls.set(method, (this.calls.get(method) ?? 0) + 1);
+    this.#failWhenDown();
+    if (this.latencyMs > 0) await this.#clock.sleep(this.latencyMs);
+    this.#failWhenDown();
+  }
+
+  #failWhenDown(): void {
+    if (this.down) throw new StoreError('notSent', 'the store is down');
+  }
+
+  #applyInterference(key: string): void {
+    const index = this.#interferences.findIndex(entry => entry.key === key);
+    const [interference] =
+      index < 0 ? [] : this.#interferences.splice(index, 1);
+    if (interference === undefined) return;
+    this.put(key, interference.change(this.#values.get(key)?.value));
+  }
+
+  #maybeLoseAnswer(): void {
+    if (this.#lostAnswers === 0) return;
+    this.#lostAnswers -= 1;
+    throw new StoreError('unknown', 'the answer was lost');
+  }
+
+  #record(event: WatchEvent): void {
+    this.#history.push(event);
+    this.#wakeWatches.abort();
+    this.#wakeWatches = new AbortController();
+  }
+
+  async #waitForChange(signal: AbortSignal): Promise<void> {
+    const wake = AbortSignal.any([signal, this.#wakeWatches.signal]);
+    await this.#clock.sleep(PROGRESS_INTERVAL_MS, wake);
+  }
+}
