--- /dev/null
+++ b/src/platform/etcd-lines.ts
@@ -0,0 +1,20 @@
+/** Splits a streamed answer into its lines. */
+
+const MAX_LINE_BYTES = 16 * 1024 * 1024;
+
+/** Yields each line of a stream of bytes, without its line end. */
+export async function* readLines(
+  chunks: AsyncIterable<Uint8Array>,
+): AsyncIterable<string> {
+  const decoder = new TextDecoder();
+  let pending = '';
+  for await (const chunk of chunks) {
+    pending += decoder.decode(chunk, {stream: true});
+    if (pending.length > MAX_LINE_BYTES) {
+      throw new Error('a line of the answer is too long');
+    }
+    const lines = pending.split('\n');
+    pending = lines.pop() ?? '';
+    yield* lines.filter(line => line !== '');
+  }
+}
--- a/src/rollout/config-document.ts
+++ b/src/rollout/config-document.ts
@@ -4,7 +4,6 @@
   EMPTY_TABLE,
   findRow,
   formatRowRef,
-  listRows,
   rowsEqual,
   type RowRef,
   type Table,
@@ -231,19 +230,6 @@
     return this.#with({version, edits: edits.slice(-MAX_EDITS)});
   }
 
-  /** Whether another document's rows, keys and retirements are the same ones. */
-  hasSameContent(other: ConfigDocument): boolean {
-    const {table, keys, retired} = this.#state;
-    const rows = listRows(table);
-    const otherRows = listRows(other.table);
-    return (
-      keys === other.state.keys &&
-      retired === other.state.retired &&
-      rows.length === otherRows.length &&
-      rows.every((row, index) => rowsEqual(row, otherRows[index]))
-    );
-  }
-
   #with(changes: Partial<ConfigState>): ConfigDocument {
     return new ConfigDocument({...this.#state, ...changes});
   }
--- /dev/null
+++ b/src/rollout/table-csv.ts
@@ -0,0 +1,257 @@
+/** The operators' table as a CSV file. */
+import {parse} from 'csv-parse/sync';
+import {CsvError} from 'csv-parse/sync';
+import {MAX_DOCUMENT_BYTES, encodeDocument} from './config-codec.js';
+import {ConfigDocument} from './config-document.js';
+import {TableError, type TableFault} from './faults.js';
+import {
+  createTable,
+  listRows,
+  type RowInput,
+  type Table,
+  type TableRow,
+} from './table.js';
+
+/** The largest file that is read. */
+export const MAX_FILE_BYTES = 1024 * 1024;
+
+/** Columns of the file, in order, and the property that each one sets. */
+const COLUMNS = {
+  kind: 'kind',
+  name: 'name',
+  old: 'oldWeight',
+  new: 'newWeight',
+  rate: 'rate',
+  burst: 'burst',
+  stale_ms: 'staleMs',
+  ack: 'ack',
+  urgent: 'urgent',
+  open: 'open',
+  priority: 'priority',
+} as const;
+
+/** A column of the file. */
+export type CsvColumn = keyof typeof COLUMNS;
+
+/** The columns of the file, in order. */
+export const CSV_COLUMNS = Object.keys(COLUMNS) as readonly CsvColumn[];
+
+const NUMBER_PATTERN = /^-?\d+(\.\d+)?$/;
+const BOOLEANS: ReadonlyMap<string, boolean> = new Map([
+  ['true', true],
+  ['false', false],
+]);
+
+interface CsvRecord {
+  readonly info: {readonly lines: number};
+  readonly record: readonly string[];
+}
+
+/**
+ * Reads a table, or throws a {@link TableError} that lists every fault with
+ * its line and column.
+ *
+ * @example
+ * const table = parseTableCsv(readFileSync('table.csv', 'utf8'));
+ */
+export function parseTableCsv(text: string): Table {
+  const bytes = Buffer.byteLength(text);
+  if (bytes > MAX_FILE_BYTES) {
+    throw createFileError(
+      `${bytes} bytes`,
+      `is over the limit of ${MAX_FILE_BYTES} bytes`,
+      'remove rows that are no longer used',
+    );
+  }
+  const [header, ...records] = readRecords(text);
+  checkHeader(header?.record ?? []);
+  const table = parseRecords(header?.record ?? [], records);
+  checkDocumentSize(table);
+  return table;
+}
+
+/**
+ * Writes a table; {@link parseTableCsv} reads the same table back.
+ *
+ * @example
+ * formatTableCsv(document.table);
+ * // 'kind,name,old,new,...\ngroup,claims,100,0,...\n'
+ */
+export function formatTableCsv(table: Table): string {
+  const lines = listRows(table).map(row => formatRecord(row).join(','));
+  return [CSV_COLUMNS.join(','), ...lines, ''].join('\n');
+}
+
+/** The cells of a row as the file writes them, by column. */
+export function formatCells(
+  row: TableRow,
+): Readonly<Partial<Record<CsvColumn, string>>> {
+  const properties = row as unknown as Readonly<Record<string, unknown>>;
+  const cells = CSV_COLUMNS.map(column => [
+    column,
+    properties[COLUMNS[column]],
+  ]).filter(([, value]) => value !== undefined);
+  return Object.fromEntries(
+    cells.map(([column, value]) => [column, String(value)]),
+  );
+}
+
+/**
+ * Turns the file's cells into a row's properties; blank cells are left out.
+ *
+ * @example
+ * parseCells({kind: 'team', name: 'lab', stale_ms: '500'});
+ * // {kind: 'team', name: 'lab', staleMs: 500}
+ */
+export function parseCells(
+  cells: Readonly<Partial<Record<CsvColumn, string>>>,
+): Readonly<Record<string, unknown>> {
+  const properties: Record<string, unknown> = {};
+  for (const column of CSV_COLUMNS) {
+    const cell = (cells[column] ?? '').trim();
+    if (cell === '') continue;
+    properties[COLUMNS[column]] = parseCell(column, cell);
+  }
+  return properties;
+}
+
+/** The file's name of a row's property, for messages. */
+export function resolveCsvColumn(property: string): string {
+  const column = CSV_COLUMNS.find(name => COLUMNS[name] === property);
+  return column ?? property;
+}
+
+/** Throws if a document with just this table would not fit in the store. */
+function checkDocumentSize(table: Table): void {
+  const edits = listRows(table).map(row => ({kind: 'put', row}) as const);
+  const text = encodeDocument(ConfigDocument.EMPTY.withRows(edits));
+  const bytes = Buffer.byteLength(text);
+  if (bytes <= MAX_DOCUMENT_BYTES) return;
+  throw createFileError(
+    `${bytes} bytes`,
+    `is what the table takes in the store, over its limit of ${MAX_DOCUMENT_BYTES} bytes`,
+    'remove rows that are no longer used',
+  );
+}
+
+function parseCell(column: CsvColumn, cell: string): unknown {
+  if (column === 'kind' || column === 'name') return cell;
+  if (column === 'open') return BOOLEANS.get(cell) ?? cell;
+  return NUMBER_PATTERN.test(cell) ? Number(cell) : cell;
+}
+
+function formatRecord(row: TableRow): readonly string[] {
+  const cells = formatCells(row);
+  return CSV_COLUMNS.map(column => cells[column] ?? '');
+}
+
+function readRecords(text: string): readonly CsvRecord[] {
+  try {
+    return parse(text, {
+      bom: true,
+      info: true,
+      relax_column_count: true,
+      skip_empty_lines: true,
+      trim: true,
+    }) as unknown as readonly CsvRecord[];
+  } catch (err) {
+    if (!(err instanceof CsvError)) throw err;
+    throw createFileError(
+      err.message,
+      'is not a CSV file',
+      'save the table as comma-separated values',
+    );
+  }
+}
+
+function checkHeader(header: readonly string[]): void {
+  const unknown = header.filter(name => !isCsvColumn(name));
+  const missing = CSV_COLUMNS.filter(name => !header.includes(name));
+  const repeated = header.filter((name, at) => header.indexOf(name) !== at);
+  const remedy = `let the first line be ${CSV_COLUMNS.join(',')}`;
+  const faults = [
+    ...unknown.map(name => createHeaderFault(name, 'is no column', remedy)),
+    ...missing.map(name => createHeaderFault(name, 'is missing', remedy)),
+    ...repeated.map(name => createHeaderFault(name, 'stands twice', remedy)),
+  ];
+  if (faults.length > 0) throw new TableError(faults);
+}
+
+function parseRecords(
+  header: readonly string[],
+  records: readonly CsvRecord[],
+): Table {
+  const faults: TableFault[] = [];
+  const inputs: RowInput[] = [];
+  for (const {info, record} of records) {
+    if (record.every(cell => cell === '')) continue;
+    if (record.length !== header.length) {
+      faults.push(createLengthFault(info.lines, record, header.length));
+      continue;
+    }
+    const cells = Object.fromEntries(
+      header.map((column, index) => [column, record[index] ?? '']),
+    );
+    inputs.push({cells: parseCells(cells), line: info.lines});
+  }
+  return createTableWithFaults(inputs, faults);
+}
+
+/** Adds the row's own faults to those of the file's form. */
+function createTableWithFaults(
+  inputs: readonly RowInput[],
+  formFaults: readonly TableFault[],
+): Table {
+  try {
+    const table = createTable(inputs);
+    if (formFaults.length === 0) return table;
+    throw new TableError([]);
+  } catch (err) {
+    if (!(err instanceof TableError)) throw err;
+    const rowFaults = err.faults.map(fault => ({
+      ...fault,
+      column: resolveCsvColumn(fault.column),
+    }));
+    const faults = [...formFaults, ...rowFaults];
+    throw new TableError(faults.sort((a, b) => lineOf(a) - lineOf(b)));
+  }
+}
+
+function lineOf(fault: TableFault): number {
+  return fault.line ?? 0;
+}
+
+function isCsvColumn(name: string): name is CsvColumn {
+  return Object.hasOwn(COLUMNS, name);
+}
+
+function createHeaderFault(
+  column: string,
+  problem: string,
+  remedy: string,
+): TableFault {
+  return {line: 1, row: 'header', column, value: column, problem, remedy};
+}
+
+function createLengthFault(
+  line: number,
+  record: readonly string[],
+  expected: number,
+): TableFault {
+  return {
+    line,
+    row: `${record[0] ?? ''} ${record[1] ?? ''}`,
+    column: CSV_COLUMNS.at(-1) ?? '',
+    value: record.join(','),
+    problem: `has ${record.length} cells, not ${expected}`,
+    remedy: 'give one cell for each column; leave a cell blank for its default',
+  };
+}
+
+function createFileError(
+  value: string,
+  problem: string,
+  remedy: string,
+): TableError {
+  return new TableError([{row: 'file', column: 'all', value, problem, remedy}]);
+}
--- /dev/null
+++ b/standins/store/revisions.ts
@@ -0,0 +1,132 @@
+/** Keys under one rising revision, with the history that watches resume from. */
+
+/** A key as it is kept. */
+export interface KeyEntry {
+  readonly key: string;
+  readonly value: string;
+  readonly createRevision: number;
+  readonly modRevision: number;
+  readonly version: number;
+  /** The lease that keeps the key, or undefined. */
+  readonly lease: string | undefined;
+}
+
+/** One change. `entry` is undefined for a deletion. */
+export interface Change {
+  readonly key: string;
+  readonly revision: number;
+  readonly entry: KeyEntry | undefined;
+}
+
+/** A half-open range of keys; without `end` it is the one key `start`. */
+export interface KeyRange {
+  readonly start: string;
+  readonly end: string | undefined;
+}
+
+/** A write of one key. */
+export interface PutRequest {
+  readonly key: string;
+  readonly value: string;
+  readonly lease: string | undefined;
+}
+
+/** Whether a key lies in a range; an end of NUL means "to the last key". */
+export function inRange(range: KeyRange, key: string): boolean {
+  if (range.end === undefined) return key === range.start;
+  return key >= range.start && (range.end === '\0' || key < range.end);
+}
+
+/** The keys and their history. Keys and values are binary strings. */
+export class Revisions {
+  readonly #entries = new Map<string, KeyEntry>();
+  readonly #listeners = new Set<() => void>();
+  #history: Change[] = [];
+  #revision = 1;
+  #compacted = 0;
+
+  /** The revision of the latest change. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Changes below this revision are forgotten. */
+  get compactedRevision(): number {
+    return this.#compacted;
+  }
+
+  get(key: string): KeyEntry | undefined {
+    return this.#entries.get(key);
+  }
+
+  /** The keys in a range, in order. */
+  range(range: KeyRange): readonly KeyEntry[] {
+    return [...this.#entries.values()]
+      .filter(entry => inRange(range, entry.key))
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+  }
+
+  /** Writes keys at one new revision. */
+  put(requests: readonly PutRequest[]): void {
+    if (requests.length === 0) return;
+    this.#revision += 1;
+    for (const request of requests) {
+      const previous = this.#entries.get(request.key);
+      const entry: KeyEntry = {
+        ...request,
+        createRevision: previous?.createRevision ?? this.#revision,
+        modRevision: this.#revision,
+        version: (previous?.version ?? 0) + 1,
+      };
+      this.#entries.set(entry.key, entry);
+      this.#history.push({key: entry.key, revision: this.#revision, entry});
+    }
+    this.#notify();
+  }
+
+  /** Deletes keys at one new revision. */
+  delete(keys: readonly string[]): void {
+    const present = keys.filter(key => this.#entries.has(key));
+    if (present.length === 0) return;
+    this.#revision += 1;
+    for (const key of present) {
+      this.#entries.delete(key);
+      const revision = this.#revision;
+      this.#history.push({key, revision, entry: undefined});
+    }
+    this.#notify();
+  }
+
+  /** The keys that a lease keeps. */
+  keysOfLease(lease: string): readonly string[] {
+    return [...this.#entries.values()]
+      .filter(entry => entry.lease === lease)
+      .map(entry => entry.key);
+  }
+
+  /** The changes to a range from a revision on, oldest first. */
+  changesSince(range: KeyRange, fromRevision: number): readonly Change[] {
+    return this.#history.filter(
+      change => change.revision >= fromRevision && inRange(range, change.key),
+    );
+  }
+
+  /** Forgets the changes below a revision. */
+  compact(revision: number): void {
+    this.#compacted = Math.min(revision, this.#revision);
+    this.#history = this.#history.filter(
+      change => change.revision >= this.#compacted,
+    );
+    this.#notify();
+  }
+
+  /** Calls back after each change, until the returned function is called. */
+  onChange(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  #notify(): void {
+    for (const listener of [...this.#listeners]) listener();
+  }
+}
--- /dev/null
+++ b/standins/store/server.ts
@@ -0,0 +1,264 @@
+/** A key-value service for tests: the etcd v3 JSON gateway's subset over HTTP. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {GROUPS_KEY, type GroupSpec} from '../../src/groups/types.js';
+import {VM_LIST_KEY, type VmRecord} from '../../src/platform/vm-list.js';
+import {ROUTES, type Route} from './calls.js';
+import {CallCounts, Faults} from './faults.js';
+import {Leases} from './leases.js';
+import {GatewayError, readInt, sendJson, type Body} from './messages.js';
+import {Revisions} from './revisions.js';
+import {WatchStream} from './watch.js';
+
+const HOST = '127.0.0.1';
+const MAX_REQUEST_BYTES = 4 * 1024 * 1024;
+
+/** How an outage shows: connections refused, or accepted and reset. */
+export type OutageKind = 'refuse' | 'reset';
+
+/** Settings of a stand-in. */
+export interface StoreServerOptions {
+  /** The port; chosen by the system when absent. */
+  readonly port?: number;
+  /** The platform's list of VMs. */
+  readonly vms?: readonly VmRecord[];
+  /** The platform's database groups. */
+  readonly groups?: readonly GroupSpec[];
+}
+
+/**
+ * Starts a stand-in for the platform's key-value service.
+ *
+ * @example
+ * const server = await createStoreServer({vms});
+ * const store = new EtcdStore({url: server.url});
+ * await server.close();
+ */
+export async function createStoreServer(
+  options: StoreServerOptions = {},
+): Promise<StoreServer> {
+  const server = new StoreServer();
+  if (options.vms !== undefined) server.setVms(options.vms);
+  if (options.groups !== undefined) server.setGroups(options.groups);
+  await server.listen(options.port ?? 0);
+  return server;
+}
+
+/** A running stand-in. */
+export class StoreServer {
+  /** Faults that can be switched at any time. */
+  readonly faults = new Faults();
+
+  readonly #revisions = new Revisions();
+  readonly #leases = new Leases(this.#revisions);
+  readonly #calls = new CallCounts();
+  readonly #watches = new Set<ServerResponse>();
+  readonly #http: Server;
+  #port = 0;
+  #outageTimer: NodeJS.Timeout | undefined;
+
+  constructor() {
+    this.#http = createServer((req, res) => {
+      this.#serve(req, res).catch(() => res.destroy());
+    });
+  }
+
+  get port(): number {
+    return this.#port;
+  }
+
+  get url(): string {
+    return `http://${HOST}:${this.#port}`;
+  }
+
+  /** Watches that wait now. */
+  get openWatches(): number {
+    return this.#watches.size;
+  }
+
+  /** The calls so far, by kind. */
+  get calls(): Readonly<Record<string, number>> {
+    return {...this.#calls.snapshot(), openWatches: this.openWatches};
+  }
+
+  /** Replaces the platform's list of VMs. */
+  setVms(vms: readonly VmRecord[]): void {
+    this.put(VM_LIST_KEY, JSON.stringify(vms));
+  }
+
+  /** Replaces the platform's database groups. */
+  setGroups(groups: readonly GroupSpec[]): void {
+    this.put(GROUPS_KEY, JSON.stringify(groups));
+  }
+
+  /** Writes a key directly, whatever the faults. */
+  put(key: string, value: string): void {
+    const toBinary = (text: string) => Buffer.from(text).toString('latin1');
+    const request = {key: toBinary(key), value: toBinary(value)};
+    this.#revisions.put([{...request, lease: undefined}]);
+  }
+
+  /** Reads a key directly, whatever the faults. */
+  get(key: string): string | undefined {
+    const binaryKey = Buffer.from(key).toString('latin1');
+    const entry = this.#revisions.get(binaryKey);
+    if (entry === undefined) return undefined;
+    return Buffer.from(entry.value, 'latin1').toString();
+  }
+
+  /** Forgets the history up to now. */
+  compact(): void {
+    this.#revisions.compact(this.#revisions.revision);
+  }
+
+  async listen(port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#http.once('error', reject);
+      this.#http.listen(port, HOST, () => {
+        this.#http.off('error', reject);
+        resolve();
+      });
+    });
+    this.#port = (this.#http.address() as AddressInfo).port;
+  }
+
+  /** Cuts every connection, and refuses or resets new ones until told. */
+  async startOutage(kind: OutageKind): Promise<void> {
+    if (kind === 'reset') {
+      this.faults.reset = true;
+      for (const watch of this.#watches) watch.destroy();
+      return;
+    }
+    await this.#stopListening();
+  }
+
+  /** Ends an outage of either kind. */
+  async endOutage(): Promise<void> {
+    clearTimeout(this.#outageTimer);
+    this.faults.reset = false;
+    if (!this.#http.listening) await this.listen(this.#port);
+  }
+
+  async close(): Promise<void> {
+    clearTimeout(this.#outageTimer);
+    this.#leases.close();
+    await this.#stopListening();
+  }
+
+  async #stopListening(): Promise<void> {
+    if (!this.#http.listening) return;
+    await new Promise<void>(resolve => {
+      this.#http.close(() => resolve());
+      this.#http.closeAllConnections();
+    });
+  }
+
+  async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const path = req.url ?? '/';
+    if (path.startsWith('/standin/')) return this.#serveSwitch(path, req, res);
+    if (this.faults.reset) {
+      res.destroy();
+      return;
+    }
+    const body = await readBody(req);
+    if (path === '/v3/watch') return this.#serveWatch(body, res);
+    const route = ROUTES.get(path);
+    if (route === undefined) {
+      return sendJson(res, 404, {code: 5, message: 'Not Found'});
+    }
+    await this.#serveCall(route, body, res);
+  }
+
+  async #serveCall(
+    route: Route,
+    body: Body,
+    res: ServerResponse,
+  ): Promise<void> {
+    this.#calls.add(route.kind);
+    const {status, answer, wrote} = this.#call(route, body);
+    if (wrote && this.faults.takeLostAnswer()) {
+      res.destroy();
+      return;
+    }
+    await delay(this.faults.slowMs);
+    if (this.faults.reset) res.destroy();
+    else sendJson(res, status, answer);
+  }
+
+  #call(route: Route, body: Body) {
+    try {
+      const {body: answer, wrote} = route.handle(
+        {revisions: this.#revisions, leases: this.#leases},
+        body,
+      );
+      return {status: 200, answer, wrote};
+    } catch (err) {
+      if (!(err instanceof GatewayError)) throw err;
+      const {status, code, message} = err;
+      return {status, answer: {error: message, code, message}, wrote: false};
+    }
+  }
+
+  async #serveWatch(body: Body, res: ServerResponse): Promise<void> {
+    this.#calls.add('watch');
+    await delay(this.faults.slowMs);
+    this.#watches.add(res);
+    res.on('close', () => this.#watches.delete(res));
+    new WatchStream(this.#revisions, res, body).start();
+  }
+
+  async #serveSwitch(
+    path: string,
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    if (path === '/standin/calls') return sendJson(res, 200, this.calls);
+    const body = await readBody(req);
+    if (path === '/standin/slow') {
+      this.faults.slowMs = readInt(body, 'ms');
+    } else if (path === '/standin/lostAnswers') {
+      this.faults.loseAnswers(readInt(body, 'count'));
+    } else if (path === '/standin/compact') {
+      this.compact();
+    } else if (path !== '/standin/outage') {
+      return sendJson(res, 404, {message: `no switch ${path}`});
+    }
+    sendJson(res, 200, {});
+    if (path === '/standin/outage') await this.#switchOutage(body, res);
+  }
+
+  /** `{ms}` refuses connections for a time; `{on}` resets them until told. */
+  async #switchOutage(body: Body, res: ServerResponse): Promise<void> {
+    const ms = readInt(body, 'ms');
+    if (ms > 0) {
+      await new Promise(resolve => res.once('close', resolve));
+      await this.startOutage('refuse');
+      this.#outageTimer = setTimeout(() => void this.endOutage(), ms);
+    } else if (body.on === true) {
+      await this.startOutage('reset');
+    } else {
+      await this.endOutage();
+    }
+  }
+}
+
+async function readBody(req: IncomingMessage): Promise<Body> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > MAX_REQUEST_BYTES) throw new Error('the request is too large');
+    chunks.push(chunk);
+  }
+  const text = Buffer.concat(chunks).toString();
+  return text === '' ? {} : (JSON.parse(text) as Body);
+}
+
+async function delay(ms: number): Promise<void> {
+  if (ms > 0) await new Promise(resolve => setTimeout(resolve, ms));
+}
