--- a/src/platform/etcd-watch.ts
+++ b/src/platform/etcd-watch.ts
@@ -49,7 +49,8 @@
     silence.pause();
     const line = watchLineSchema.parse(JSON.parse(text)).result;
     failWhenCanceled(line);
-    yield createItem(line);
+    // The first line carries the store's revision before any replay.
+    if (!line.created) yield createItem(line);
     silence.feed();
   }
   throw new StoreError('notSent', 'the store ended the watch');
--- a/src/rollout/table.ts
+++ b/src/rollout/table.ts
@@ -32,9 +32,10 @@
     urgent: z.enum(['writes', 'all', 'none']).default('writes'),
     open: z.boolean().default(false),
   })
-  .refine(row => row.oldWeight + row.newWeight > 0, {
+  .refine(row => row.oldWeight !== 0 || row.newWeight !== 0, {
     path: ['newWeight'],
     message: 'leaves both weights at 0',
+    when: () => true,
   });
 
 /** What one team may use. */
@@ -132,13 +133,18 @@
   input: Readonly<Record<string, unknown>>,
   line?: number,
 ): RowResult {
-  const schema = input.kind === 'group' ? groupSchema : teamSchema;
+  const row = `${describeCell(input.kind)} ${describeCell(input.name)}`;
+  const place = line === undefined ? {} : {line};
+  if (input.kind !== 'team' && input.kind !== 'group') {
+    const fault = createKindFault(row, describeCell(input.kind));
+    return {kind: 'faulty', faults: [{...place, ...fault}]};
+  }
+  const schema = input.kind === 'team' ? teamSchema : groupSchema;
   const result = schema.safeParse(input);
   if (result.success) return {kind: 'row', row: result.data};
-  const row = `${describeCell(input.kind)} ${describeCell(input.name)}`;
   const faults = result.error.issues.flatMap(issue =>
     resolveColumns(issue).map(column => ({
-      ...(line === undefined ? {} : {line}),
+      ...place,
       row,
       column,
       value: describeCell(input[column]),
@@ -203,6 +209,13 @@
   return [...rows.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
 }
 
+function createKindFault(row: string, kind: string): TableFault {
+  const column = 'kind';
+  const problem = kind === '' ? 'is missing' : 'is not allowed';
+  const remedy = COLUMN_REMEDIES[column] ?? '';
+  return {row, column, value: kind, problem, remedy};
+}
+
 function resolveColumns(issue: z.core.$ZodIssue): readonly string[] {
   if (issue.code === 'unrecognized_keys') return issue.keys;
   return [String(issue.path[0] ?? 'kind')];
