--- /dev/null
+++ b/src/admission/types.ts
@@ -0,0 +1,184 @@
+/** Ports and messages of the team budgets. Messages are plain data. */
+
+import type {Clock, Random} from '../platform/clock.js';
+import type {Store} from '../platform/store.js';
+
+/** What a team may use over all VMs together. */
+export interface BudgetLimits {
+  /** Statements a second. */
+  readonly rate: number;
+  /** Statements at once. */
+  readonly burst: number;
+}
+
+/** A part of a budget, in units of which the whole has `WHOLE_UNITS`. */
+export interface Share {
+  readonly rate: number;
+  readonly burst: number;
+}
+
+/** A running process on a VM. A restarted one has a new instance id. */
+export interface NodeRef {
+  readonly vm: string;
+  readonly instance: string;
+}
+
+/** How far this node may trust what it knows of the configuration. */
+export type Standing = 'current' | 'outage' | 'cutOff';
+
+/** Tells whether this node may spend. */
+export interface StandingPort {
+  standing(): Standing;
+}
+
+/** What the configuration document says, as far as this node has heard. */
+export interface BudgetConfigPort {
+  /** A team's limits; undefined if the table has no row for it. */
+  limits(team: string): BudgetLimits | undefined;
+  /**
+   * Instances that may never spend again. An edit reaches every node within
+   * the standing limit, or that node's standing is `cutOff`.
+   */
+  retired(): ReadonlySet<string>;
+  /** Edits the document through the store; may throw. */
+  retire(instance: string): Promise<void>;
+}
+
+/** Calls other nodes' `budget` method. */
+export interface BudgetPeers {
+  /** Rejects if no answer comes within `timeoutMs`. */
+  call(
+    instanceOrVm: string,
+    message: BudgetMessage,
+    timeoutMs: number,
+  ): Promise<BudgetReply>;
+  /** The nodes believed live. */
+  live(): readonly NodeRef[];
+  /** The live nodes by rendezvous hashing over `key`, first choice first. */
+  homeOrder(key: string): readonly NodeRef[];
+}
+
+/**
+ * A holder tells the owner what it holds and needs.
+ *
+ * From this message on the holder takes no answer to an earlier one, so the
+ * owner may count whatever exceeds `held` as its own again.
+ */
+export interface SyncMessage {
+  readonly kind: 'sync';
+  readonly team: string;
+  readonly holder: string;
+  /** Rises with each message of this holder about this team. */
+  readonly seq: number;
+  /** The epoch of the owner that granted `held`; 0 when nothing is held. */
+  readonly heldEpoch: number;
+  /** The highest epoch that the holder knows. */
+  readonly knownEpoch: number;
+  readonly held: Share;
+  /** Tokens that go back together with the part of the share given up. */
+  readonly tokensBack: number;
+  /** Statements a second that callers offer at this node. */
+  readonly demand: number;
+  /** Statements that wait for this answer. */
+  readonly waiting: number;
+}
+
+/** The owner asks a holder to lower its share to `target` now. */
+export interface RecallMessage {
+  readonly kind: 'recall';
+  readonly team: string;
+  readonly epoch: number;
+  readonly owner: string;
+  readonly target: Share;
+}
+
+/** One holder in the owner's ledger. */
+export interface LedgerEntry {
+  readonly holder: string;
+  /** The most that the holder can hold. */
+  readonly share: Share;
+  readonly seq: number;
+}
+
+/** A leaving owner hands its ledger to the next one. */
+export interface HandoverMessage {
+  readonly kind: 'handover';
+  readonly team: string;
+  readonly epoch: number;
+  readonly owner: string;
+  readonly pool: Share;
+  readonly tokens: number;
+  readonly entries: readonly LedgerEntry[];
+}
+
+/** A call of the peer method `budget`. */
+export type BudgetMessage = SyncMessage | RecallMessage | HandoverMessage;
+
+/** The owner's answer to a sync. */
+export interface GrantReply {
+  readonly kind: 'granted';
+  readonly epoch: number;
+  readonly owner: string;
+  readonly seq: number;
+  /** What the holder holds from now on. */
+  readonly share: Share;
+  /** Tokens that come with the part added to the share. */
+  readonly tokens: number;
+  /** What the holder should come down to once it has spent its tokens. */
+  readonly target: Share;
+  /** How long the holder should not ask for tokens again. */
+  readonly askAgainMs: number;
+}
+
+/** An answer of the peer method `budget`. */
+export type BudgetReply =
+  | GrantReply
+  /** This node does not own the budget; it names the owner if it knows it. */
+  | {
+      readonly kind: 'notOwner';
+      readonly epoch: number;
+      readonly owner: string | undefined;
+    }
+  /** The ledger does not have what the holder claims; it must drop it. */
+  | {readonly kind: 'void'; readonly epoch: number; readonly owner: string}
+  /** An older message than one already served. */
+  | {readonly kind: 'stale'}
+  /** The answer to a recall: what the holder holds now. */
+  | {readonly kind: 'returned'; readonly sync: SyncMessage}
+  /** The holder awaits an answer and gives nothing back now. */
+  | {readonly kind: 'busy'}
+  | {readonly kind: 'accepted'};
+
+/** Whether a statement may run. */
+export type Admission =
+  | {readonly kind: 'admitted'}
+  | {readonly kind: 'refused'; readonly retryAfterMs: number};
+
+/** What an operator sees of one budget at this node. */
+export interface BudgetStatus {
+  readonly team: string;
+  readonly epoch: number;
+  readonly owner: string | undefined;
+  readonly share: Share;
+  readonly tokens: number;
+}
+
+/** Settings of the budgets. */
+export interface BudgetOptions {
+  /** How long a node may go unheard before its standing is `cutOff`. */
+  readonly standingLimitMs: number;
+  /** The largest relative error of a monotonic clock. */
+  readonly clockErrorRatio: number;
+}
+
+/** What the budgets of a node are built from. */
+export interface BudgetDeps {
+  readonly self: NodeRef;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly store: Store;
+  readonly peers: BudgetPeers;
+  readonly standing: StandingPort;
+  readonly config: BudgetConfigPort;
+  readonly options?: Partial<BudgetOptions>;
+}
--- /dev/null
+++ b/test/admission/fair-queue.test.ts
@@ -0,0 +1,137 @@
+import {expect, test} from 'vitest';
+import {
+  FairQueue,
+  ORDINARY_EVERY,
+  type WorkClass,
+} from '../../src/admission/fair-queue.js';
+import {ManualClock} from './manual-clock.js';
+
+const FAR_MS = 1_000_000;
+
+interface Job {
+  readonly team: string;
+  readonly class: WorkClass;
+}
+
+function createQueue(weights: Readonly<Record<string, number>> = {}) {
+  const clock = new ManualClock();
+  const queue = new FairQueue<Job>({
+    clock,
+    weightOf: team => weights[team] ?? 1,
+    concurrency: () => 1,
+  });
+  const offer = (
+    team: string,
+    cls: WorkClass,
+    deadlineMs = FAR_MS,
+    costMs = 1,
+  ) => queue.offer({team, class: cls}, {team, class: cls, deadlineMs, costMs});
+  return {clock, queue, offer};
+}
+
+function countByTeam(
+  queue: FairQueue<Job>,
+  count: number,
+): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (let i = 0; i < count; i++) {
+    const taken = queue.take();
+    if (taken?.kind !== 'run') break;
+    counts.set(taken.item.team, (counts.get(taken.item.team) ?? 0) + 1);
+  }
+  return counts;
+}
+
+test('shares dispatches between teams by weight', () => {
+  const {queue, offer} = createQueue({large: 3, small: 1});
+  for (let i = 0; i < 400; i++) offer('large', 'ordinary');
+  for (let i = 0; i < 400; i++) offer('small', 'ordinary');
+  const counts = countByTeam(queue, 400);
+  expect(counts.get('large')).toBeGreaterThanOrEqual(298);
+  expect(counts.get('small')).toBeGreaterThanOrEqual(98);
+});
+
+test('gives a team that was idle no credit for the past', () => {
+  const {queue, offer} = createQueue();
+  for (let i = 0; i < 300; i++) offer('busy', 'ordinary');
+  countByTeam(queue, 100);
+  for (let i = 0; i < 200; i++) offer('late', 'ordinary');
+  expect(countByTeam(queue, 100).get('busy')).toBeGreaterThanOrEqual(49);
+});
+
+test('serves every other team its rate while one sends ten times its own', () => {
+  const teams = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
+  const {clock, queue, offer} = createQueue();
+  const served = new Map<string, number>();
+  const offered = new Map<string, number>();
+  for (let ms = 0; ms < 16_000; ms++) {
+    for (const [index, team] of teams.entries()) {
+      const due = index === 0 ? ms % 8 !== 7 : ms % 8 === index;
+      const times = index === 0 && ms % 2 === 0 ? 2 : 1;
+      for (let i = 0; due && i < times; i++) {
+        offered.set(team, (offered.get(team) ?? 0) + 1);
+        offer(team, 'ordinary', clock.now() + 200);
+      }
+    }
+    for (let taken = queue.take(); taken !== undefined; taken = queue.take()) {
+      if (taken.kind === 'expired') continue;
+      served.set(taken.item.team, (served.get(taken.item.team) ?? 0) + 1);
+      break;
+    }
+    clock.advance(1);
+  }
+  for (const team of teams) {
+    const entitled = Math.min(2_000, offered.get(team) ?? 0);
+    expect(served.get(team)).toBeGreaterThanOrEqual(0.95 * entitled);
+  }
+});
+
+test('puts urgent work first and never starves ordinary work', () => {
+  const {queue, offer} = createQueue();
+  for (let i = 0; i < 50; i++) offer('a', 'ordinary');
+  for (let i = 0; i < 80; i++) offer('b', 'urgent');
+  const order: WorkClass[] = [];
+  for (let i = 0; i < 80; i++) {
+    const taken = queue.take();
+    if (taken?.kind === 'run') order.push(taken.item.class);
+  }
+  expect(order[0]).toBe('urgent');
+  for (let i = 0; i + ORDINARY_EVERY <= order.length; i++) {
+    const window = order.slice(i, i + ORDINARY_EVERY);
+    expect(window.filter(cls => cls === 'ordinary')).toHaveLength(1);
+  }
+});
+
+test('refuses at once what could not meet its deadline', () => {
+  const {queue, offer} = createQueue();
+  for (let i = 0; i < 10; i++) offer('a', 'ordinary', FAR_MS, 10);
+  expect(offer('a', 'ordinary', 100, 10)).toEqual({
+    kind: 'refused',
+    retryAfterMs: 10,
+  });
+  expect(offer('a', 'ordinary', 110, 10).kind).toBe('queued');
+  expect(offer('b', 'ordinary', 40, 10).kind).toBe('queued');
+  expect(queue.size).toBe(12);
+});
+
+test('hands out expired items at once and before others', () => {
+  const {clock, queue, offer} = createQueue();
+  offer('a', 'ordinary');
+  offer('b', 'ordinary', 50);
+  expect(queue.nextExpiryMs).toBe(50);
+  clock.advance(50);
+  expect(queue.oldestAgeMs).toBe(50);
+  expect(queue.take()).toMatchObject({kind: 'expired', item: {team: 'b'}});
+  expect(queue.take()).toMatchObject({kind: 'run', item: {team: 'a'}});
+  expect(queue.take()).toBeUndefined();
+  expect(queue.oldestAgeMs).toBe(0);
+});
+
+test('removes an item whose caller left', () => {
+  const {clock, queue} = createQueue();
+  const job: Job = {team: 'a', class: 'ordinary'};
+  queue.offer(job, {...job, deadlineMs: clock.now() + 100, costMs: 1});
+  expect(queue.remove(job)).toBe(true);
+  expect(queue.remove(job)).toBe(false);
+  expect(queue.size).toBe(0);
+});
--- /dev/null
+++ b/test/admission/manual-clock.ts
@@ -0,0 +1,26 @@
+import type {Clock} from '../../src/platform/clock.js';
+
+/** A clock for code that never sleeps. */
+export class ManualClock implements Clock {
+  #nowMs: number;
+
+  constructor(nowMs = 0) {
+    this.#nowMs = nowMs;
+  }
+
+  now(): number {
+    return this.#nowMs;
+  }
+
+  wallNow(): number {
+    return this.#nowMs;
+  }
+
+  advance(ms: number): void {
+    this.#nowMs += ms;
+  }
+
+  sleep(): Promise<void> {
+    throw new Error('this clock never sleeps; use the virtual clock');
+  }
+}
