--- a/src/peers/handshake.ts
+++ b/src/peers/handshake.ts
@@ -61,3 +61,11 @@
   const expected = createProof(secret, input);
   return expected.length === proof.length && timingSafeEqual(expected, proof);
 }
+
+/** The other end is not the node that it should be. */
+export class HandshakeError extends Error {
+  constructor(message: string) {
+    super(message);
+    this.name = 'HandshakeError';
+  }
+}
--- a/src/peers/silence-monitor.ts
+++ b/src/peers/silence-monitor.ts
@@ -1,6 +1,7 @@
 /** Notices a connection that has gone silent. */
 
 import type {Clock} from '../platform/clock.js';
+import type {FrameWriter} from './frame-writer.js';
 
 /** How often a connection is looked at and, if idle, pinged. */
 export const HEARTBEAT_INTERVAL_MS = 1_000;
@@ -8,12 +9,14 @@
 /** Intervals without a byte after which a connection counts as silent. */
 export const SILENT_INTERVALS = 3;
 
-/** What the monitor may do to the connection. */
-export interface MonitoredConnection {
-  /** Sends a heartbeat. Called when nothing was sent for an interval. */
-  sendHeartbeat(): void;
+/** What a monitor needs. */
+export interface SilenceMonitorOptions {
+  readonly clock: Clock;
+  readonly writer: FrameWriter;
+  /** Whether this end sends the heartbeats; the other end answers them. */
+  readonly sendsHeartbeats: boolean;
   /** Called once, when the connection has been silent for too long. */
-  onSilent(): void;
+  readonly onSilent: () => void;
 }
 
 /**
@@ -21,15 +24,12 @@
  * missed no interval, so it reads what has arrived before it decides.
  */
 export class SilenceMonitor {
-  readonly #clock: Clock;
-  readonly #connection: MonitoredConnection;
+  readonly #options: SilenceMonitorOptions;
   #received = false;
-  #sent = false;
   #silentIntervals = 0;
 
-  constructor(clock: Clock, connection: MonitoredConnection) {
-    this.#clock = clock;
-    this.#connection = connection;
+  constructor(options: SilenceMonitorOptions) {
+    this.#options = options;
   }
 
   /** Notes that bytes arrived. */
@@ -37,24 +37,19 @@
     this.#received = true;
   }
 
-  /** Notes that a frame was sent. */
-  noteSent(): void {
-    this.#sent = true;
-  }
-
   /** Watches until `signal` aborts or the connection is silent. */
   async run(signal: AbortSignal): Promise<void> {
+    const {clock, writer, sendsHeartbeats, onSilent} = this.#options;
+    let framesSent = writer.framesSent;
     while (!signal.aborted) {
-      await this.#clock.sleep(HEARTBEAT_INTERVAL_MS, signal);
+      await clock.sleep(HEARTBEAT_INTERVAL_MS, signal);
       if (signal.aborted) return;
       this.#silentIntervals = this.#received ? 0 : this.#silentIntervals + 1;
-      if (this.#silentIntervals >= SILENT_INTERVALS) {
-        this.#connection.onSilent();
-        return;
-      }
-      if (!this.#sent || !this.#received) this.#connection.sendHeartbeat();
+      if (this.#silentIntervals >= SILENT_INTERVALS) return onSilent();
+      const idle = !this.#received || writer.framesSent === framesSent;
+      framesSent = writer.framesSent;
       this.#received = false;
-      this.#sent = false;
+      if (sendsHeartbeats && idle) writer.write({kind: 'ping'});
     }
   }
 }
