--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -31,10 +31,12 @@
   readonly #server: Server;
   readonly #options: PeerServerOptions;
   readonly #clock: Clock;
+  #port: number;
   readonly #connections = new Map<ServerConnection, Promise<void>>();
 
   constructor(options: PeerServerOptions) {
     this.#options = options;
+    this.#port = options.port;
     this.#clock = options.clock ?? new SystemClock();
     this.#server = createServer({noDelay: true}, socket =>
       this.#accept(
@@ -50,10 +52,10 @@
     );
   }
 
-  /** Where the server listens. */
+  /** Where the server listens; known once the port is open. */
   get address(): PeerAddress {
-    const {port} = this.#server.address() as AddressInfo;
-    return {id: this.#options.self, host: this.#options.host, port};
+    const {self, host} = this.#options;
+    return {id: self, host, port: this.#port};
   }
 
   /** Open connections. */
@@ -69,6 +71,7 @@
       this.#server.listen(port, host, () => {
         this.#server.off('error', reject);
         this.#server.on('error', () => {});
+        this.#port = (this.#server.address() as AddressInfo).port;
         resolve();
       });
     });
