--- /dev/null
+++ b/src/callers/messages.ts
@@ -0,0 +1,113 @@
+/** Messages of the PostgreSQL protocol v3 that a server sends to a caller. */
+import {Writer} from 'pg-protocol/dist/buffer-writer.js';
+import type {TransactionStatus} from '../targets/types.js';
+
+const TYPE = {
+  authentication: 0x52,
+  backendKeyData: 0x4b,
+  commandComplete: 0x43,
+  dataRow: 0x44,
+  emptyQuery: 0x49,
+  error: 0x45,
+  negotiateVersion: 0x76,
+  notice: 0x4e,
+  parameterStatus: 0x53,
+  readyForQuery: 0x5a,
+  rowDescription: 0x54,
+} as const;
+
+const AUTHENTICATION_OK = 0;
+const AUTHENTICATION_CLEARTEXT = 3;
+const TEXT_OID = 25;
+const VARIABLE_LENGTH = -1;
+
+/** The fields of an error that a caller sees. */
+export interface ErrorFields {
+  readonly severity: 'ERROR' | 'FATAL';
+  readonly sqlstate: string;
+  readonly message: string;
+  readonly detail?: string;
+  readonly hint?: string;
+}
+
+export function authenticationOk(): Buffer {
+  return new Writer().addInt32(AUTHENTICATION_OK).flush(TYPE.authentication);
+}
+
+export function askCleartextPassword(): Buffer {
+  return new Writer()
+    .addInt32(AUTHENTICATION_CLEARTEXT)
+    .flush(TYPE.authentication);
+}
+
+export function parameterStatus(name: string, value: string): Buffer {
+  return new Writer()
+    .addCString(name)
+    .addCString(value)
+    .flush(TYPE.parameterStatus);
+}
+
+export function backendKeyData(processId: number, secret: number): Buffer {
+  return new Writer()
+    .addInt32(processId)
+    .addInt32(secret)
+    .flush(TYPE.backendKeyData);
+}
+
+/** Tells a caller of a newer minor version that 3.0 is spoken here. */
+export function negotiateVersion(unknownOptions: readonly string[]): Buffer {
+  const writer = new Writer().addInt32(0).addInt32(unknownOptions.length);
+  for (const option of unknownOptions) writer.addCString(option);
+  return writer.flush(TYPE.negotiateVersion);
+}
+
+const READY_CODES: Readonly<Record<TransactionStatus, string>> = {
+  idle: 'I',
+  open: 'T',
+  failed: 'E',
+};
+
+export function readyForQuery(status: TransactionStatus): Buffer {
+  return new Writer().addString(READY_CODES[status]).flush(TYPE.readyForQuery);
+}
+
+export function errorResponse(fields: ErrorFields): Buffer {
+  const writer = new Writer();
+  const add = (code: string, text: string | undefined) => {
+    if (text !== undefined) writer.addString(code).addCString(text);
+  };
+  add('S', fields.severity);
+  add('V', fields.severity);
+  add('C', fields.sqlstate);
+  add('M', fields.message);
+  add('D', fields.detail);
+  add('H', fields.hint);
+  return writer.addString('\0').flush(TYPE.error);
+}
+
+export function commandComplete(tag: string): Buffer {
+  return new Writer().addCString(tag).flush(TYPE.commandComplete);
+}
+
+export function emptyQueryResponse(): Buffer {
+  return new Writer().flush(TYPE.emptyQuery);
+}
+
+/** A one-column, one-row text result, as for SHOW. */
+export function singleValue(column: string, value: string): Buffer {
+  const description = new Writer()
+    .addInt16(1)
+    .addCString(column)
+    .addInt32(0)
+    .addInt16(0)
+    .addInt32(TEXT_OID)
+    .addInt16(VARIABLE_LENGTH)
+    .addInt32(VARIABLE_LENGTH)
+    .addInt16(0)
+    .flush(TYPE.rowDescription);
+  const row = new Writer()
+    .addInt16(1)
+    .addInt32PrefixedString(value)
+    .flush(TYPE.dataRow);
+  return Buffer.concat([description, row]);
+}
--- /dev/null
+++ b/src/callers/socket-reader.ts
@@ -0,0 +1,98 @@
+/**
+ * Reads exact byte counts from a caller's socket, with back-pressure: bytes
+ * that nobody asked for stay in the socket.
+ */
+import type {Duplex} from 'node:stream';
+
+/** The caller sent something that is not the protocol. */
+export class ProtocolError extends Error {
+  constructor(message: string) {
+    super(message);
+    this.name = 'ProtocolError';
+  }
+}
+
+/** One message: its type byte and its body without the header. */
+export interface Frame {
+  readonly type: string;
+  readonly body: Buffer;
+  /** Header and body, as received. */
+  readonly bytes: Buffer;
+}
+
+const HEADER_BYTES = 5;
+const LENGTH_BYTES = 4;
+
+/** Pulls messages from a socket, one reader a connection. */
+export class SocketReader {
+  readonly #socket: Duplex;
+  #ended = false;
+  #wake: (() => void) | undefined;
+
+  constructor(socket: Duplex) {
+    this.#socket = socket;
+    const end = () => {
+      this.#ended = true;
+      this.#wake?.();
+    };
+    socket.on('readable', () => this.#wake?.());
+    socket.on('end', end);
+    socket.on('close', end);
+    socket.on('error', end);
+  }
+
+  /** Exactly `count` bytes; undefined if the connection ended before any. */
+  async read(count: number): Promise<Buffer | undefined> {
+    for (;;) {
+      const chunk = this.#socket.read(count) as Buffer | null;
+      if (chunk !== null && chunk.length === count) return chunk;
+      if (chunk !== null && chunk.length > 0) {
+        throw new ProtocolError('the connection ended within a message');
+      }
+      if (this.#ended || this.#socket.destroyed) return undefined;
+      await new Promise<void>(resolve => (this.#wake = resolve));
+      this.#wake = undefined;
+    }
+  }
+
+  /** A start-up packet: a length and a body, without a type byte. */
+  async readStartup(maxBytes: number): Promise<Buffer | undefined> {
+    const header = await this.read(LENGTH_BYTES);
+    if (header === undefined) return undefined;
+    const length = header.readInt32BE(0);
+    if (length < LENGTH_BYTES * 2 || length > maxBytes) {
+      throw new ProtocolError(
+        `a start-up packet of ${length} bytes is not PostgreSQL protocol v3`,
+      );
+    }
+    return this.#body(length - LENGTH_BYTES);
+  }
+
+  /** The next message; undefined at the end of the connection. */
+  async readFrame(maxBytes: number): Promise<Frame | undefined> {
+    const header = await this.read(HEADER_BYTES);
+    if (header === undefined) return undefined;
+    const length = header.readInt32BE(1);
+    if (length < LENGTH_BYTES || length > maxBytes) {
+      throw new ProtocolError(
+        `a message of ${length} bytes was refused; the limit is ${maxBytes}`,
+      );
+    }
+    const bodyBytes = length - LENGTH_BYTES;
+    const body =
+      bodyBytes === 0 ? Buffer.alloc(0) : await this.#body(bodyBytes);
+    return {
+      type: String.fromCharCode(header[0] ?? 0),
+      body,
+      bytes: Buffer.concat([header, body]),
+    };
+  }
+
+  async #body(count: number): Promise<Buffer> {
+    const body = await this.read(count);
+    if (body === undefined) {
+      throw new ProtocolError('the connection ended within a message');
+    }
+    return body;
+  }
+}
--- /dev/null
+++ b/src/callers/statement-runner.ts
@@ -0,0 +1,154 @@
+/** Runs one batch for a session: class, admission, execution, answer. */
+import {randomUUID} from 'node:crypto';
+import {failedResult, type ExecResult} from '../home/types.js';
+import type {Classification, Statement} from '../routing/statement.js';
+import type {Position} from '../session/position.js';
+import type {TransactionStatus} from '../targets/types.js';
+import {notRun, type NotRun} from '../verdict/verdict.js';
+import type {Authority, SessionDeps} from './types.js';
+import type {SessionParameters} from './session-parameters.js';
+
+/** A batch that the session wants to run on its group. */
+export interface RunRequest {
+  readonly frames: Uint8Array;
+  readonly classification: Classification;
+  /** Statements that it executes, for the team's rate. */
+  readonly statements: number;
+  readonly arrivedAt: number;
+  readonly sink: (frames: Uint8Array) => void | Promise<void>;
+  readonly signal: AbortSignal;
+}
+
+/** The part of a session that reaches the group: its open transaction. */
+export class StatementRunner {
+  /** Names the session over the whole fleet. */
+  readonly sessionId = randomUUID();
+  readonly #deps: SessionDeps;
+  readonly #authority: Authority;
+  readonly #parameters: SessionParameters;
+  #pin: string | undefined;
+  #transaction: TransactionStatus = 'idle';
+
+  constructor(
+    deps: SessionDeps,
+    authority: Authority,
+    parameters: SessionParameters,
+  ) {
+    this.#deps = deps;
+    this.#authority = authority;
+    this.#parameters = parameters;
+  }
+
+  get transaction(): TransactionStatus {
+    return this.#transaction;
+  }
+
+  /** Runs a batch; every failure is in the result's verdict. */
+  async run(req: RunRequest): Promise<ExecResult> {
+    const result = await this.#admitAndExecute(req);
+    this.#transaction = result.transaction;
+    this.#pin = result.pin;
+    if (result.position !== undefined) this.#remember(result.position);
+    this.#observe(req, result);
+    return result;
+  }
+
+  /** Rolls back whatever the session left open. */
+  abandon(): void {
+    if (this.#pin === undefined) return;
+    this.#deps.executor.release(this.#authority.group, this.#pin);
+    this.#pin = undefined;
+  }
+
+  /** Asks the database to stop the running statement. */
+  cancel(): void {
+    this.#deps.executor.cancel(this.#authority.group, this.sessionId);
+  }
+
+  async #admitAndExecute(req: RunRequest): Promise<ExecResult> {
+    const deadlineAt = req.arrivedAt + this.#parameters.deadlineMs;
+    const refusal =
+      this.#deps.access.recheck(this.#authority) ??
+      (await this.#admit(req, deadlineAt));
+    if (refusal !== undefined) {
+      return failedResult(refusal, this.#transaction, this.#pin);
+    }
+    const {team, group} = this.#authority;
+    const rules = this.#deps.access.rules(this.#authority);
+    const kind = this.#kindOf(req.classification);
+    return this.#deps.executor.execute(
+      {
+        sessionId: this.sessionId,
+        group,
+        team,
+        kind,
+        priority: rules.priority(kind, this.#parameters.priority),
+        deadlineMs: Math.max(1, deadlineAt - this.#deps.clock.now()),
+        token: this.#parameters.token.at(group),
+        staleMs: rules.staleMs,
+        frames: req.frames,
+        pin: this.#pin,
+      },
+      req.sink,
+      req.signal,
+    );
+  }
+
+  /**
+   * Counts the batch against the team's rate. A BEGIN pays for its own end as
+   * well, so that no COMMIT or ROLLBACK is ever refused.
+   */
+  async #admit(
+    req: RunRequest,
+    deadlineAt: number,
+  ): Promise<NotRun | undefined> {
+    const cost = admissionCost(req, this.#transaction);
+    for (let paid = 0; paid < cost; paid++) {
+      const admission = await this.#deps.admission.admit(
+        this.#authority.team,
+        deadlineAt,
+      );
+      if (admission.kind === 'refused') {
+        return notRun(
+          'rateLimited',
+          `team ${this.#authority.team} is over its rate`,
+          admission.retryAfterMs,
+        );
+      }
+    }
+    return undefined;
+  }
+
+  #kindOf(classification: Classification): 'read' | 'write' {
+    const isRead = classification.strictest.kind === 'read';
+    return isRead && this.#transaction === 'idle' ? 'read' : 'write';
+  }
+
+  #remember(position: Position): void {
+    const {group} = this.#authority;
+    this.#parameters.token = this.#parameters.token.with(group, position);
+  }
+
+  #observe(req: RunRequest, result: ExecResult): void {
+    this.#deps.observe({
+      team: this.#authority.team,
+      group: this.#authority.group,
+      kind: req.classification.strictest.kind === 'read' ? 'read' : 'write',
+      verdict: result.verdict,
+      elapsedMs: this.#deps.clock.now() - req.arrivedAt,
+      servedBy: result.servedBy,
+    });
+  }
+}
+
+function admissionCost(
+  req: RunRequest,
+  transaction: TransactionStatus,
+): number {
+  const {statements} = req.classification;
+  const endsTransaction = (statement: Statement) =>
+    statement.kind === 'commit' || statement.kind === 'rollback';
+  if (transaction !== 'idle' && statements.every(endsTransaction)) return 0;
+  const begins = statements.filter(({kind}) => kind === 'begin').length;
+  return Math.max(1, req.statements) + begins;
+}
--- /dev/null
+++ b/src/home/types.ts
@@ -0,0 +1,77 @@
+/** What entries ask of a group's home, and what it answers. */
+import type {Position} from '../session/position.js';
+import type {TransactionStatus} from '../targets/types.js';
+import type {Verdict} from '../verdict/verdict.js';
+
+/** Scheduling class at the home's queues. */
+export type Priority = 'urgent' | 'ordinary';
+
+/** A batch of statements to run on a group's databases. */
+export interface ExecRequest {
+  /** The caller's session; unique over the fleet. */
+  readonly sessionId: string;
+  readonly group: string;
+  readonly team: string;
+  readonly kind: 'read' | 'write';
+  readonly priority: Priority;
+  /** Milliseconds left to the caller's deadline when this was sent. */
+  readonly deadlineMs: number;
+  /** What the session has written or seen in this group, if known. */
+  readonly token: Position | undefined;
+  /** How old the data of a read may be; 0 reads at the primary. */
+  readonly staleMs: number;
+  /** Frontend frames, ending in Sync or being one Query. */
+  readonly frames: Uint8Array;
+  /** The transaction that this batch belongs to. */
+  readonly pin: string | undefined;
+}
+
+/** How a batch ended. Answer frames were sent as parts before. */
+export interface ExecResult {
+  readonly verdict: Verdict;
+  readonly transaction: TransactionStatus;
+  /** Names the open transaction; present while `transaction` is not idle. */
+  readonly pin: string | undefined;
+  /** Where the session now stands in the group's log. */
+  readonly position: Position | undefined;
+  /** Whether the database answered the batch with an error. */
+  readonly failed: boolean;
+  /** The database that ran it, and its role, for the metrics. */
+  readonly servedBy: 'primary' | 'replica' | undefined;
+}
+
+/** Receives whole answer frames in order. */
+export type PartSink = (frames: Uint8Array) => void | Promise<void>;
+
+/** Runs batches on a database group. */
+export interface GroupExecutor {
+  /**
+   * Runs one batch. Never rejects: every failure is a verdict.
+   * `signal` aborts when the caller is gone.
+   */
+  execute(
+    req: ExecRequest,
+    sink: PartSink,
+    signal: AbortSignal,
+  ): Promise<ExecResult>;
+  /** Rolls back a transaction whose caller is gone. */
+  release(group: string, pin: string): void;
+  /** Asks the database to stop what the session runs. */
+  cancel(group: string, sessionId: string): void;
+}
+
+/** A result for a batch that ended without running. */
+export function failedResult(
+  verdict: Verdict,
+  transaction: TransactionStatus = 'idle',
+  pin?: string,
+): ExecResult {
+  return {
+    verdict,
+    transaction,
+    pin,
+    position: undefined,
+    failed: true,
+    servedBy: undefined,
+  };
+}
--- /dev/null
+++ b/src/telemetry/log.ts
@@ -0,0 +1,102 @@
+/** Structured logs: one key=value line an event. */
+import {createConsola, type LogObject} from 'consola';
+
+/** A value that a log line can carry. */
+export type LogValue = string | number | boolean | undefined;
+
+/** The fields of one event. */
+export type LogFields = Readonly<Record<string, LogValue>>;
+
+/** Writes events; `event` is a short lower-camel-case name. */
+export interface Logger {
+  info(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  error(event: string, fields?: LogFields): void;
+  debug(event: string, fields?: LogFields): void;
+  /** A logger that adds `fields` to every line. */
+  with(fields: LogFields): Logger;
+}
+
+/** How much is written. */
+export type LogLevel = 'silent' | 'error' | 'warn' | 'info' | 'debug';
+
+const CONSOLA_LEVELS: Readonly<Record<LogLevel, number>> = {
+  silent: -999,
+  error: 0,
+  warn: 1,
+  info: 3,
+  debug: 4,
+};
+
+/**
+ * Writes fields as `key=value`, quoting values with spaces, quotes or `=`.
+ *
+ * @example
+ * formatFields({event: 'listening', port: 5432}) === 'event=listening port=5432';
+ */
+export function formatFields(fields: LogFields): string {
+  return Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([key, value]) => `${key}=${formatValue(value)}`)
+    .join(' ');
+}
+
+function formatValue(value: LogValue): string {
+  const text = String(value);
+  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+}
+
+class ConsolaLogger implements Logger {
+  readonly #consola: ReturnType<typeof createConsola>;
+  readonly #fields: LogFields;
+
+  constructor(consola: ReturnType<typeof createConsola>, fields: LogFields) {
+    this.#consola = consola;
+    this.#fields = fields;
+  }
+
+  info(event: string, fields: LogFields = {}): void {
+    this.#consola.info({event, ...this.#fields, ...fields});
+  }
+
+  warn(event: string, fields: LogFields = {}): void {
+    this.#consola.warn({event, ...this.#fields, ...fields});
+  }
+
+  error(event: string, fields: LogFields = {}): void {
+    this.#consola.error({event, ...this.#fields, ...fields});
+  }
+
+  debug(event: string, fields: LogFields = {}): void {
+    this.#consola.debug({event, ...this.#fields, ...fields});
+  }
+
+  with(fields: LogFields): Logger {
+    return new ConsolaLogger(this.#consola, {...this.#fields, ...fields});
+  }
+}
+
+/**
+ * Creates a logger that writes to `write`, by default standard error.
+ *
+ * @example
+ * createLogger('info', {vm: 'vm1'}).info('listening', {port: 5432});
+ */
+export function createLogger(
+  level: LogLevel,
+  fields: LogFields = {},
+  write: (line: string) => void = line => process.stderr.write(line),
+): Logger {
+  const log = (entry: LogObject) => {
+    const body = (entry.args[0] ?? {}) as LogFields;
+    write(
+      `${formatFields({time: entry.date.toISOString(), level: entry.type, ...body})}\n`,
+    );
+  };
+  const consola = createConsola({
+    level: CONSOLA_LEVELS[level],
+    reporters: [{log}],
+    throttle: 0,
+  });
+  return new ConsolaLogger(consola, fields);
+}
