--- /dev/null
+++ b/src/targets/connection-set.ts
@@ -0,0 +1,112 @@
+/** A few connections to one database, opened on demand and kept for reuse. */
+import {TargetError, type TargetConnection} from './types.js';
+
+/** Opens a connection within a time. */
+export type OpenConnection = (timeoutMs: number) => Promise<TargetConnection>;
+
+/**
+ * Runs tasks on at most `limit` connections, first come first served.
+ *
+ * A connection on which a task failed or ran out of time is closed: a silent
+ * connection would otherwise hold every later task up.
+ */
+export class ConnectionSet {
+  readonly #open: OpenConnection;
+  readonly #limit: number;
+  readonly #idle: TargetConnection[] = [];
+  readonly #busy = new Set<TargetConnection>();
+  readonly #queue: (() => void)[] = [];
+  #used = 0;
+
+  constructor(limit: number, open: OpenConnection) {
+    this.#limit = limit;
+    this.#open = open;
+  }
+
+  /** Runs a task; all of waiting, connecting and running takes `timeoutMs`. */
+  async run<T>(
+    timeoutMs: number,
+    task: (connection: TargetConnection, remainingMs: number) => Promise<T>,
+  ): Promise<T> {
+    const deadlineMs = performance.now() + timeoutMs;
+    const remainingMs = () => Math.max(1, deadlineMs - performance.now());
+    await this.#acquire(timeoutMs);
+    try {
+      const connection = await this.#connect(remainingMs());
+      return await this.#use(connection, remainingMs(), task);
+    } finally {
+      this.#release();
+    }
+  }
+
+  /** Closes every connection; tasks under way reject. */
+  close(): void {
+    for (const connection of [...this.#idle, ...this.#busy]) connection.close();
+    this.#idle.length = 0;
+  }
+
+  async #use<T>(
+    connection: TargetConnection,
+    timeoutMs: number,
+    task: (connection: TargetConnection, remainingMs: number) => Promise<T>,
+  ): Promise<T> {
+    let expired = false;
+    const timer = setTimeout(() => {
+      expired = true;
+      connection.close();
+    }, timeoutMs);
+    this.#busy.add(connection);
+    try {
+      const result = await task(connection, timeoutMs);
+      if (connection.usable) this.#idle.push(connection);
+      return result;
+    } catch (err) {
+      connection.close();
+      if (!expired) throw err;
+      throw new TargetError(
+        'lost',
+        `the database did not answer within ${Math.round(timeoutMs)} ms; the connection was closed`,
+      );
+    } finally {
+      clearTimeout(timer);
+      this.#busy.delete(connection);
+    }
+  }
+
+  async #connect(timeoutMs: number): Promise<TargetConnection> {
+    for (;;) {
+      const connection = this.#idle.pop();
+      if (connection === undefined) return await this.#open(timeoutMs);
+      if (connection.usable) return connection;
+    }
+  }
+
+  #acquire(timeoutMs: number): Promise<void> {
+    if (this.#used < this.#limit) {
+      this.#used++;
+      return Promise.resolve();
+    }
+    return new Promise((resolve, reject) => {
+      const grant = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+      const timer = setTimeout(() => {
+        this.#queue.splice(this.#queue.indexOf(grant), 1);
+        reject(
+          new TargetError(
+            'notSent',
+            `all ${this.#limit} connections stayed busy for ${timeoutMs} ms`,
+          ),
+        );
+      }, timeoutMs);
+      this.#queue.push(grant);
+    });
+  }
+
+  #release(): void {
+    const next = this.#queue.shift();
+    if (next === undefined) this.#used--;
+    else next();
+  }
+}
--- /dev/null
+++ b/src/targets/pg-connection.ts
@@ -0,0 +1,317 @@
+/** A connection to a database over the PostgreSQL wire protocol. */
+import {once} from 'node:events';
+import net from 'node:net';
+import {serialize} from 'pg-protocol';
+import {parsePosition, type Position} from '../session/position.js';
+import {
+  DEFAULT_MAX_FRAME_BYTES,
+  FrameError,
+  FrameReader,
+  readErrorFields,
+  readStrings,
+  type Frame,
+} from './frames.js';
+import {
+  TargetError,
+  type AnswerObserver,
+  type BatchEnd,
+  type TargetConnection,
+  type TransactionStatus,
+} from './types.js';
+
+/** Where and how to connect. */
+export interface PgTargetOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly user: string;
+  readonly password: string;
+  readonly database: string;
+  /** Bounds the whole of connecting, and each cancel request. */
+  readonly timeoutMs: number;
+  readonly maxFrameBytes?: number;
+}
+
+/** The parameter in which a database reports its log position. */
+export const POSITION_PARAMETER = 'platform.position';
+
+const AUTHENTICATION_OK = 0;
+const AUTHENTICATION_CLEARTEXT = 3;
+
+/** CopyInResponse, CopyOutResponse and CopyBothResponse. */
+const COPY_TYPES: ReadonlySet<string> = new Set(['G', 'H', 'W']);
+
+/** Frames that a database may send at any time: notices and parameters. */
+const ASYNC_TYPES: ReadonlySet<string> = new Set(['N', 'S', 'A']);
+
+/** The secret that a cancel request must name. */
+interface BackendKey {
+  readonly processId: number;
+  readonly secretKey: number;
+}
+
+/**
+ * One connection to a PostgreSQL database, used for one batch at a time.
+ *
+ * @example
+ * const connection = await PgTargetConnection.connect(options);
+ * const end = await connection.run(serialize.query('SELECT 1'), observer);
+ */
+export class PgTargetConnection implements TargetConnection {
+  readonly #socket: net.Socket;
+  readonly #reader: FrameReader;
+  readonly #options: PgTargetOptions;
+  #key: BackendKey | undefined;
+  #transaction: TransactionStatus = 'idle';
+  #running = false;
+  #closed = false;
+  /** The read in progress while idle, which notices a closed connection. */
+  #ahead: Promise<Frame | undefined> | undefined;
+
+  private constructor(socket: net.Socket, options: PgTargetOptions) {
+    this.#socket = socket;
+    this.#options = options;
+    this.#reader = new FrameReader(
+      socket,
+      options.maxFrameBytes ?? DEFAULT_MAX_FRAME_BYTES,
+    );
+    socket.on('close', () => (this.#closed = true));
+  }
+
+  /** Connects and authenticates within `options.timeoutMs`. */
+  static async connect(options: PgTargetOptions): Promise<PgTargetConnection> {
+    const socket = net.connect({host: options.host, port: options.port});
+    socket.setNoDelay(true);
+    // Errors reach the reader; this listener keeps late ones from being thrown.
+    socket.on('error', () => {});
+    const place = `${options.host}:${options.port}`;
+    const timer = setTimeout(
+      () => socket.destroy(new Error(`no answer in ${options.timeoutMs} ms`)),
+      options.timeoutMs,
+    );
+    try {
+      await once(socket, 'connect');
+      const connection = new PgTargetConnection(socket, options);
+      await connection.#startUp();
+      return connection;
+    } catch (err) {
+      socket.destroy();
+      if (err instanceof TargetError) throw err;
+      throw new TargetError(
+        'notSent',
+        `cannot connect to ${place}: ${describeError(err)}`,
+      );
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  get usable(): boolean {
+    return !this.#closed && !this.#socket.destroyed;
+  }
+
+  get transaction(): TransactionStatus {
+    return this.#transaction;
+  }
+
+  async run(frames: Uint8Array, observer: AnswerObserver): Promise<BatchEnd> {
+    if (this.#running) {
+      throw new TargetError('notSent', 'another batch runs on this connection');
+    }
+    if (!this.usable) {
+      throw new TargetError('notSent', 'the connection is closed; reconnect');
+    }
+    this.#running = true;
+    try {
+      this.#socket.write(frames);
+      return await this.#readAnswer(observer);
+    } catch (err) {
+      this.close();
+      if (err instanceof FrameError) throw new TargetError('lost', err.message);
+      throw err;
+    } finally {
+      this.#running = false;
+      if (this.usable) this.#watchIdle();
+    }
+  }
+
+  async cancel(): Promise<void> {
+    if (this.#key === undefined || !this.usable) return;
+    const {host, port, timeoutMs} = this.#options;
+    const socket = net.connect({host, port});
+    socket.setTimeout(timeoutMs, () => socket.destroy());
+    socket.on('error', () => {});
+    socket.end(serialize.cancel(this.#key.processId, this.#key.secretKey));
+    socket.resume();
+    await new Promise<void>(resolve => socket.once('close', () => resolve()));
+  }
+
+  close(): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    if (this.#running) {
+      this.#socket.destroy();
+    } else {
+      this.#socket.end(serialize.end());
+      this.#socket.resume();
+      this.#socket.setTimeout(this.#options.timeoutMs, () =>
+        this.#socket.destroy(),
+      );
+    }
+  }
+
+  async #startUp(): Promise<void> {
+    const {user, database, password} = this.#options;
+    this.#socket.write(serialize.startup({user, database}));
+    for (;;) {
+      const frame = await this.#reader.next();
+      if (frame === undefined) throw new Error('closed during start-up');
+      switch (frame.type) {
+        case 'R':
+          this.#authenticate(frame, password);
+          break;
+        case 'K':
+          this.#key = {
+            processId: frame.bytes.readInt32BE(5),
+            secretKey: frame.bytes.readInt32BE(9),
+          };
+          break;
+        case 'E': {
+          const {code, message} = readErrorFields(frame.bytes);
+          throw new TargetError('refused', message, code);
+        }
+        case 'Z':
+          this.#watchIdle();
+          return;
+      }
+    }
+  }
+
+  #authenticate(frame: Frame, password: string): void {
+    const method = frame.bytes.readInt32BE(5);
+    if (method === AUTHENTICATION_OK) return;
+    if (method === AUTHENTICATION_CLEARTEXT) {
+      this.#socket.write(serialize.password(password));
+      return;
+    }
+    throw new TargetError(
+      'refused',
+      `the database asks for authentication method ${method}; configure password authentication for the proxy's user`,
+    );
+  }
+
+  async #readAnswer(observer: AnswerObserver): Promise<BatchEnd> {
+    const answer = new AnswerReader(observer);
+    for (;;) {
+      const frame = this.#reader.take() ?? (await this.#nextFrame(answer));
+      if (frame.type === 'Z') {
+        await answer.flush();
+        this.#transaction = transactionStatus(frame);
+        return answer.end(this.#transaction);
+      }
+      if (COPY_TYPES.has(frame.type)) {
+        throw new TargetError(
+          'lost',
+          'the database started a COPY, which is not supported',
+        );
+      }
+      await answer.accept(frame);
+    }
+  }
+
+  /** Hands on what has arrived before it waits for more. */
+  async #nextFrame(answer: AnswerReader): Promise<Frame> {
+    await answer.flush();
+    const ahead = this.#ahead;
+    this.#ahead = undefined;
+    let frame: Frame | undefined;
+    try {
+      frame = await (ahead ?? this.#reader.next());
+    } catch (err) {
+      throw new TargetError('lost', describeError(err));
+    }
+    if (frame !== undefined) return frame;
+    throw new TargetError('lost', 'the connection closed during an answer');
+  }
+
+  #watchIdle(): void {
+    this.#ahead = this.#reader.next();
+    this.#ahead.then(
+      frame => {
+        if (this.#running) return;
+        if (frame === undefined || !ASYNC_TYPES.has(frame.type)) this.close();
+      },
+      () => this.close(),
+    );
+  }
+}
+
+/** Hands the frames of one answer to its observer in contiguous runs. */
+class AnswerReader {
+  readonly #observer: AnswerObserver;
+  #pending: Buffer | undefined;
+  #position: Position | undefined;
+  #started = false;
+  #failed = false;
+
+  constructor(observer: AnswerObserver) {
+    this.#observer = observer;
+  }
+
+  async accept(frame: Frame): Promise<void> {
+    if (frame.type === 'S') return this.#readParameter(frame);
+    if (frame.type === 'E') this.#failed = true;
+    if (!this.#started) this.#start();
+    const joined = joinAdjacent(this.#pending, frame.bytes);
+    if (joined === undefined) await this.flush();
+    this.#pending = joined ?? frame.bytes;
+  }
+
+  async flush(): Promise<void> {
+    const frames = this.#pending;
+    if (frames === undefined) return;
+    this.#pending = undefined;
+    await this.#observer.onFrames(frames);
+  }
+
+  end(transaction: TransactionStatus): BatchEnd {
+    return {transaction, position: this.#position, failed: this.#failed};
+  }
+
+  #start(): void {
+    this.#started = true;
+    if (this.#observer.onStart?.(this.#position) === false) {
+      throw new TargetError('lost', 'the answer was abandoned at its start');
+    }
+  }
+
+  #readParameter(frame: Frame): void {
+    const [name, value] = readStrings(frame.bytes);
+    if (name !== POSITION_PARAMETER) return;
+    this.#position = parsePosition(value ?? '') ?? this.#position;
+  }
+}
+
+/** Extends a run by a frame that follows it in the same memory. */
+function joinAdjacent(
+  run: Buffer | undefined,
+  next: Buffer,
+): Buffer | undefined {
+  if (run === undefined || run.buffer !== next.buffer) return undefined;
+  if (run.byteOffset + run.length !== next.byteOffset) return undefined;
+  return Buffer.from(run.buffer, run.byteOffset, run.length + next.length);
+}
+
+function transactionStatus(frame: Frame): TransactionStatus {
+  switch (String.fromCharCode(frame.bytes[5] ?? 0)) {
+    case 'T':
+      return 'open';
+    case 'E':
+      return 'failed';
+    default:
+      return 'idle';
+  }
+}
+
+function describeError(err: unknown): string {
+  return err instanceof Error ? err.message : String(err);
+}
--- /dev/null
+++ b/standins/database/admin-server.ts
@@ -0,0 +1,101 @@
+/** The HTTP side of a database: test controls, and replication for its peers. */
+import http from 'node:http';
+import type {Position} from '../../src/session/position.js';
+import type {DatabaseCore} from './core.js';
+import {DATABASE_HEADER} from './peer-client.js';
+import {ENTRIES_PATH, STATE_PATH} from './replication-messages.js';
+import {answerPull, peerState} from './replication-source.js';
+
+/** The bodies of the POST requests. */
+interface AdminOrder {
+  readonly ms?: number;
+  readonly from?: readonly string[];
+}
+
+type Handler = (url: URL, order: AdminOrder) => unknown;
+
+/** Creates the server; it does not listen yet. */
+export function createAdminServer(core: DatabaseCore): http.Server {
+  const handlers = adminHandlers(core);
+  return http.createServer((req, res) => {
+    serve(core, handlers, req, res).catch(() => res.destroy());
+  });
+}
+
+async function serve(
+  core: DatabaseCore,
+  handlers: ReadonlyMap<string, Handler>,
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+): Promise<void> {
+  const url = new URL(req.url ?? '/', 'http://localhost');
+  if (url.pathname === STATE_PATH || url.pathname === ENTRIES_PATH) {
+    return serveReplication(core, url, req, res);
+  }
+  const handler = handlers.get(`${req.method} ${url.pathname}`);
+  if (handler === undefined) return reply(res, 404, {error: 'unknown path'});
+  const body = await readBody(req);
+  const order = (body === '' ? {} : JSON.parse(body)) as AdminOrder;
+  try {
+    reply(res, 200, handler(url, order) ?? {ok: true});
+  } catch (err) {
+    reply(res, 400, {error: String(err)});
+  }
+}
+
+async function serveReplication(
+  core: DatabaseCore,
+  url: URL,
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+): Promise<void> {
+  const peer = String(req.headers[DATABASE_HEADER]);
+  if (core.peers.isBlocked(peer)) return void res.destroy();
+  await core.gate.pass();
+  const answer =
+    url.pathname === STATE_PATH
+      ? peerState(core.member)
+      : await answerPull(core.member, readPosition(url));
+  await core.gate.pass();
+  if (core.peers.isBlocked(peer)) return void res.destroy();
+  reply(res, 200, answer);
+}
+
+function adminHandlers(core: DatabaseCore): ReadonlyMap<string, Handler> {
+  return new Map<string, Handler>([
+    ['POST /partition', (_url, {from}) => core.peers.block(from ?? [])],
+    ['POST /freeze', (_url, order) => core.gate.freeze(readMs(order))],
+    ['POST /silence', () => core.silenceConnections()],
+    ['POST /lag', (_url, order) => core.member.setLag(readMs(order))],
+    ['POST /service', (_url, order) => core.runner.setService(readMs(order))],
+    ['GET /status', () => core.member.status()],
+    ['GET /log', () => core.member.log.after(0)],
+    [
+      'GET /rows',
+      url => [...core.member.rows.rows(url.searchParams.get('table') ?? '')],
+    ],
+    ['GET /counts', () => core.counts()],
+    ['GET /seen', () => core.seen()],
+  ]);
+}
+
+function readMs({ms}: AdminOrder): number {
+  if (typeof ms === 'number' && ms >= 0) return ms;
+  throw new Error('send {"ms": a number of milliseconds}');
+}
+
+function readPosition(url: URL): Position {
+  const read = (name: string) => Number(url.searchParams.get(name));
+  return {term: read('term'), offset: read('offset')};
+}
+
+async function readBody(req: http.IncomingMessage): Promise<string> {
+  let body = '';
+  for await (const chunk of req) body += String(chunk);
+  return body;
+}
+
+function reply(res: http.ServerResponse, status: number, body: unknown): void {
+  res.writeHead(status, {'content-type': 'application/json'});
+  res.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/standins/database/replication-follower.ts
@@ -0,0 +1,128 @@
+/** A replica's side of replication: finds the primary and pulls its log. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Position} from '../../src/session/position.js';
+import type {GroupMember} from './member.js';
+import type {PeerAddress} from './options.js';
+import type {PeerClient} from './peer-client.js';
+import {
+  ENTRIES_PATH,
+  STATE_PATH,
+  type PeerState,
+  type PullAnswer,
+} from './replication-messages.js';
+import type {FreezeGate} from './signal.js';
+
+/** Between looks at a peer while this database has a primary. */
+const LOOK_INTERVAL_MS = 100;
+/** Between looks at a peer, and tries, without one. */
+const SEARCH_INTERVAL_MS = 10;
+
+/** The peer that this database takes to be its primary. */
+interface Upstream {
+  readonly peer: PeerAddress;
+  readonly term: number;
+}
+
+/** Follows the primary of the highest term among the peers. */
+export class ReplicationFollower {
+  readonly #member: GroupMember;
+  readonly #peers: PeerClient;
+  readonly #gate: FreezeGate;
+  readonly #linkMs: number;
+  readonly #stop = new AbortController();
+  #upstream: Upstream | undefined;
+
+  constructor(
+    member: GroupMember,
+    peers: PeerClient,
+    gate: FreezeGate,
+    linkMs: number,
+  ) {
+    this.#member = member;
+    this.#peers = peers;
+    this.#gate = gate;
+    this.#linkMs = linkMs;
+  }
+
+  /** Starts one task for each peer and one that pulls. */
+  start(peers: readonly PeerAddress[]): void {
+    for (const peer of peers) void this.#lookAt(peer);
+    void this.#follow();
+  }
+
+  stop(): void {
+    this.#stop.abort();
+  }
+
+  async #lookAt(peer: PeerAddress): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      const settled = this.#hasPrimary();
+      await this.#pause(settled ? LOOK_INTERVAL_MS : SEARCH_INTERVAL_MS);
+      const state = await this.#peers.get<PeerState>(peer, STATE_PATH);
+      await this.#gate.pass();
+      if (state?.role === 'primary') this.#consider(peer, state);
+    }
+  }
+
+  /** Follows a peer that is primary of a higher term than the one followed. */
+  #consider(peer: PeerAddress, state: PeerState): void {
+    this.#member.noteTerm(state.term, state.orderer);
+    if (this.#member.role === 'primary') return;
+    if (state.term < this.#member.fencedTerm) return;
+    if (state.term <= (this.#upstream?.term ?? 0)) return;
+    const replaced = this.#upstream !== undefined;
+    this.#upstream = {peer, term: state.term};
+    // The pull from the primary before would wait for its answer.
+    if (replaced) this.#peers.abort();
+  }
+
+  #hasPrimary(): boolean {
+    const {role, fencedTerm} = this.#member;
+    if (role === 'primary') return true;
+    return this.#upstream !== undefined && this.#upstream.term >= fencedTerm;
+  }
+
+  async #follow(): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      if (this.#member.role === 'primary') this.#upstream = undefined;
+      const upstream = this.#upstream;
+      if (upstream !== undefined) await this.#pullFrom(upstream);
+      if (upstream !== this.#upstream) continue;
+      this.#upstream = undefined;
+      await this.#pause(SEARCH_INTERVAL_MS);
+    }
+  }
+
+  /** Pulls until the primary fails, is fenced off or is replaced. */
+  async #pullFrom(upstream: Upstream): Promise<void> {
+    const {log} = this.#member;
+    let previous = log.last;
+    while (upstream === this.#upstream) {
+      const answer = await this.#pull(upstream.peer, previous);
+      if (answer === undefined || answer.kind === 'notPrimary') return;
+      if (answer.kind === 'mismatch') {
+        previous = log.positionAt(log.beforeTermOf(previous.offset));
+        continue;
+      }
+      if (!this.#member.accept(answer)) return;
+      previous = log.last;
+    }
+  }
+
+  async #pull(
+    peer: PeerAddress,
+    {term, offset}: Position,
+  ): Promise<PullAnswer | undefined> {
+    const path = `${ENTRIES_PATH}?term=${term}&offset=${offset}`;
+    const answer = await this.#peers.get<PullAnswer>(peer, path);
+    const carries = answer?.kind === 'entries' && answer.entries.length > 0;
+    if (carries) await this.#pause(this.#linkMs);
+    await this.#gate.pass();
+    return this.#peers.isBlocked(peer.id) ? undefined : answer;
+  }
+
+  async #pause(ms: number): Promise<void> {
+    await sleep(ms, undefined, {signal: this.#stop.signal}).catch(() => {});
+    await this.#gate.pass();
+  }
+}
--- /dev/null
+++ b/standins/database/send-result.ts
@@ -0,0 +1,31 @@
+/** Sends a statement's rows with back-pressure. */
+import type {AnswerWriter} from './answer-writer.js';
+import {commandComplete, dataRow} from './messages.js';
+import type {Result} from './result.js';
+
+/** Sends all rows of a result and its tag. */
+export async function sendResult(
+  writer: AnswerWriter,
+  result: Result,
+): Promise<void> {
+  for (const row of result.rows ?? []) {
+    writer.write(dataRow(row));
+    await writer.flushIfLarge();
+  }
+  writer.write(commandComplete(result.tag));
+}
+
+/** Sends at most `limit` rows; whether the rows ended. */
+export async function sendRows(
+  writer: AnswerWriter,
+  rows: Iterator<readonly string[]>,
+  limit: number,
+): Promise<boolean> {
+  for (let count = 0; count < limit; count++) {
+    const next = rows.next();
+    if (next.done) return true;
+    writer.write(dataRow(next.value));
+    await writer.flushIfLarge();
+  }
+  return false;
+}
--- /dev/null
+++ b/test/standins/database-group.test.ts
@@ -0,0 +1,239 @@
+import {setImmediate} from 'node:timers/promises';
+import {afterEach, describe, expect, it} from 'vitest';
+import type {DatabaseSpec} from '../../src/groups/types.js';
+import {formatPosition} from '../../src/session/position.js';
+import {PgDatabaseControl} from '../../src/targets/database-control.js';
+import {PgTargetConnection} from '../../src/targets/pg-connection.js';
+import {queryRows} from '../../src/targets/query-rows.js';
+import {
+  createDatabaseGroup,
+  type Database,
+  type DatabaseOptions,
+} from '../../standins/database/index.js';
+
+const TIMEOUT_MS = 2000;
+const credentials = {user: 'zinnia', password: 'zinnia'};
+
+let databases: readonly Database[] = [];
+const closers: {close(): void}[] = [];
+
+async function start(options: Partial<DatabaseOptions> = {}) {
+  databases = await createDatabaseGroup(3, {
+    connectCostMs: 0,
+    serviceMs: 0,
+    lagMs: 0,
+    ...options,
+  });
+  await until(() => databases.every(({member}) => member.term === 1));
+  return databases.map(controlOf) as [
+    PgDatabaseControl,
+    PgDatabaseControl,
+    PgDatabaseControl,
+  ];
+}
+
+function controlOf({id, port}: Database): PgDatabaseControl {
+  const spec: DatabaseSpec = {
+    id,
+    host: '127.0.0.1',
+    port,
+    dataCentre: 'hobart',
+    provider: 'old',
+    slots: 2,
+    maxConnections: 16,
+  };
+  const control = new PgDatabaseControl(spec, credentials);
+  closers.push(control);
+  return control;
+}
+
+async function connect(index: number): Promise<PgTargetConnection> {
+  const connection = await PgTargetConnection.connect({
+    host: '127.0.0.1',
+    port: databases[index]!.port,
+    ...credentials,
+    database: 'claims',
+    timeoutMs: TIMEOUT_MS,
+  });
+  closers.push(connection);
+  return connection;
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await setImmediate();
+}
+
+async function order(index: number, path: string, body: unknown) {
+  const url = `http://127.0.0.1:${databases[index]!.adminPort}/${path}`;
+  const res = await fetch(url, {method: 'POST', body: JSON.stringify(body)});
+  expect(res.status).toBe(200);
+}
+
+function insert(id: string): string {
+  return `INSERT INTO t (id, team, value) VALUES ('${id}', 'x', 1)`;
+}
+
+const ids = async (connection: PgTargetConnection) =>
+  (await queryRows(connection, 'SELECT id FROM t')).map(row => row['id']);
+
+afterEach(async () => {
+  closers.splice(0).forEach(closer => closer.close());
+  await Promise.all(databases.map(database => database.close()));
+});
+
+describe('database group', () => {
+  it('replicates, and applies an entry after its lag', async () => {
+    const [, replica] = await start({lagMs: 60_000});
+    const writer = await connect(0);
+    const reader = await connect(1);
+    await queryRows(writer, insert('a'));
+    const position = {term: 1, offset: 2};
+    expect(await replica.confirm(1, position, TIMEOUT_MS)).toEqual({
+      kind: 'confirmed',
+      received: position,
+    });
+    expect(await ids(reader)).toEqual([]);
+    expect((await replica.status(TIMEOUT_MS)).applied.offset).toBe(0);
+    await order(1, 'lag', {ms: 0});
+    expect(await ids(reader)).toEqual(['a']);
+  });
+
+  it('refuses writes on a replica', async () => {
+    await start();
+    const reader = await connect(1);
+    await expect(queryRows(reader, insert('a'))).rejects.toMatchObject({
+      kind: 'refused',
+      code: '25006',
+    });
+  });
+
+  it('grants a term to one orderer, and promotes only for it', async () => {
+    const [, replica] = await start();
+    expect(await replica.promote(2, 'vm1', TIMEOUT_MS)).toBe(false);
+    expect(await replica.fence(1, 'vm1', TIMEOUT_MS)).toEqual({
+      kind: 'refused',
+      fencedTerm: 1,
+    });
+    for (let repeat = 0; repeat < 2; repeat++) {
+      expect(await replica.fence(2, "vm'1", TIMEOUT_MS)).toMatchObject({
+        kind: 'fenced',
+        status: {role: 'replica', term: 1, fencedTerm: 2, fencedBy: "vm'1"},
+      });
+    }
+    expect(await replica.fence(2, 'vm2', TIMEOUT_MS)).toMatchObject({
+      kind: 'refused',
+    });
+    expect(await replica.promote(2, 'vm2', TIMEOUT_MS)).toBe(false);
+    expect(await replica.promote(2, "vm'1", TIMEOUT_MS)).toBe(true);
+    expect(await replica.promote(2, "vm'1", TIMEOUT_MS)).toBe(true);
+    expect(await replica.status(TIMEOUT_MS)).toMatchObject({
+      role: 'primary',
+      applied: {term: 2, offset: 2},
+    });
+  });
+
+  it('truncates the tail that an old primary wrote alone', async () => {
+    const [, first, second] = await start();
+    const old = await connect(0);
+    await queryRows(old, insert('kept'));
+    const kept = {term: 1, offset: 2};
+    await first.confirm(1, kept, TIMEOUT_MS);
+    await second.confirm(1, kept, TIMEOUT_MS);
+    await order(0, 'partition', {from: ['db2', 'db3']});
+    await queryRows(old, insert('lost'));
+    await queryRows(old, insert('lost too'));
+    await first.fence(2, 'vm1', TIMEOUT_MS);
+    await second.fence(2, 'vm1', TIMEOUT_MS);
+    expect(await first.promote(2, 'vm1', TIMEOUT_MS)).toBe(true);
+    await queryRows(await connect(1), insert('new'));
+    expect(await ids(old)).toEqual(['kept', 'lost', 'lost too']);
+    await order(0, 'partition', {from: []});
+    await until(() => databases[0]!.member.term === 2);
+    await until(() => databases[0]!.member.applied.offset === 4);
+    expect(await ids(old)).toEqual(['kept', 'new']);
+    expect(databases[0]!.member.status()).toMatchObject({
+      role: 'replica',
+      received: {term: 2, offset: 4},
+    });
+  });
+
+  it('applies all it received before it leads', async () => {
+    const [, replica] = await start({lagMs: 60_000});
+    await queryRows(await connect(0), insert('a'));
+    await replica.confirm(1, {term: 1, offset: 2}, TIMEOUT_MS);
+    await replica.fence(2, 'vm1', TIMEOUT_MS);
+    await replica.promote(2, 'vm1', TIMEOUT_MS);
+    expect(await ids(await connect(1))).toEqual(['a']);
+  });
+
+  it('fails transactions that are open when the primary is fenced', async () => {
+    const [primary] = await start();
+    const writer = await connect(0);
+    await queryRows(writer, `BEGIN; ${insert('a')}`);
+    await primary.fence(2, 'vm1', TIMEOUT_MS);
+    await expect(queryRows(writer, 'COMMIT')).rejects.toMatchObject({
+      code: '57P01',
+    });
+    expect(writer.transaction).toBe('idle');
+    await expect(queryRows(writer, insert('b'))).rejects.toMatchObject({
+      code: '25006',
+    });
+    expect(databases[0]!.member.log.length).toBe(1);
+  });
+
+  it('confirms only for the term it follows, until fenced above', async () => {
+    const [, replica] = await start();
+    const ahead = {term: 1, offset: 9};
+    expect(await replica.confirm(1, ahead, 50)).toEqual({
+      kind: 'timeout',
+      received: {term: 1, offset: 1},
+    });
+    const waiting = replica.confirm(1, ahead, TIMEOUT_MS);
+    expect(await replica.fence(2, 'vm1', TIMEOUT_MS)).toMatchObject({
+      kind: 'fenced',
+    });
+    expect(await waiting).toEqual({kind: 'fenced', fencedTerm: 2});
+    expect(await replica.confirm(1, {term: 1, offset: 1}, 50)).toEqual({
+      kind: 'fenced',
+      fencedTerm: 2,
+    });
+    expect(await replica.confirm(2, {term: 1, offset: 1}, 50)).toMatchObject({
+      kind: 'timeout',
+    });
+  });
+
+  it('reports the position before an answer and after a commit', async () => {
+    await start();
+    const writer = await connect(0);
+    const run = async (sql: string) => {
+      const starts: string[] = [];
+      const {serialize} = await import('pg-protocol');
+      const end = await writer.run(serialize.query(sql), {
+        onStart: position =>
+          Boolean(starts.push(position ? formatPosition(position) : '')),
+        onFrames: () => {},
+      });
+      return [...starts, end.position && formatPosition(end.position)];
+    };
+    expect(await run(insert('a'))).toEqual(['1/1', '1/2']);
+    expect(await run(`BEGIN; ${insert('b')}`)).toEqual(['1/2', '1/2']);
+    expect(await run('COMMIT')).toEqual(['1/2', '1/3']);
+    expect(await run('SELECT * FROM t')).toEqual(['1/3', '1/3']);
+  });
+
+  it('shows a partition as silence, and freezes when told', async () => {
+    const [, replica] = await start();
+    await order(1, 'partition', {from: ['db1']});
+    await until(() => databases[1]!.member.status().upstreamSilentMs > 150);
+    expect((await replica.status(TIMEOUT_MS)).upstreamSilentMs).toBeGreaterThan(
+      150,
+    );
+    await order(1, 'freeze', {ms: 60_000});
+    await expect(replica.status(50)).rejects.toMatchObject({kind: 'lost'});
+    await order(1, 'freeze', {ms: 0});
+    await expect(replica.status(TIMEOUT_MS)).resolves.toBeDefined();
+    await order(1, 'silence', {});
+    await expect(replica.status(50)).rejects.toMatchObject({kind: 'lost'});
+    await expect(replica.status(TIMEOUT_MS)).resolves.toBeDefined();
+  });
+});
--- /dev/null
+++ b/test/standins/database.test.ts
@@ -0,0 +1,213 @@
+import {setImmediate} from 'node:timers/promises';
+import pg from 'pg';
+import {afterEach, describe, expect, it} from 'vitest';
+import {createDatabase, type Database} from '../../standins/database/index.js';
+
+let database: Database | undefined;
+const clients: pg.Client[] = [];
+
+async function connect(port: number): Promise<pg.Client> {
+  const client = new pg.Client({
+    host: '127.0.0.1',
+    port,
+    user: 'zinnia',
+    password: 'zinnia',
+    database: 'claims',
+  });
+  client.on('error', () => {});
+  await client.connect();
+  clients.push(client);
+  return client;
+}
+
+async function start(options = {}): Promise<pg.Client> {
+  database = await createDatabase({
+    primary: true,
+    connectCostMs: 0,
+    serviceMs: 0,
+    ...options,
+  });
+  return await connect(database.port);
+}
+
+afterEach(async () => {
+  await Promise.all(clients.splice(0).map(client => client.end()));
+  await database?.close();
+});
+
+describe('database stand-in', () => {
+  it('answers simple queries, several in one', async () => {
+    const client = await start();
+    const results = (await client.query(
+      "INSERT INTO claims (id, team, value) VALUES ('a', 'it''s; me', 3); SELECT * FROM claims; SELECT 1",
+    )) as unknown as pg.QueryResult[];
+    expect(results.map(result => result.rows)).toEqual([
+      [],
+      [{id: 'a', team: "it's; me", value: '3'}],
+      [{'?column?': 1}],
+    ]);
+  });
+
+  it('answers extended queries with parameters', async () => {
+    const client = await start();
+    const insert =
+      'INSERT INTO claims (id, team, value) VALUES ($1, $2, $3) ON CONFLICT (id) DO NOTHING';
+    await client.query(insert, ['a', 'tasman', 5]);
+    expect((await client.query(insert, ['a', 'tasman', 5])).rowCount).toBe(0);
+    await client.query('UPDATE claims SET value = value + $1 WHERE id = $2', [
+      2,
+      'a',
+    ]);
+    const read = await client.query(
+      'SELECT value FROM claims WHERE team = $1',
+      ['tasman'],
+    );
+    expect(read.rows).toEqual([{value: '7'}]);
+    await client.query('DELETE FROM claims WHERE id = $1', ['a']);
+    const count = await client.query('SELECT count(*) FROM claims');
+    expect(count.rows).toEqual([{count: '0'}]);
+  });
+
+  it('isolates, commits and rolls back transactions', async () => {
+    const client = await start();
+    const other = await connect(database!.port);
+    const count = async () =>
+      (await other.query('SELECT count(*) FROM t')).rows[0].count;
+    await client.query('BEGIN');
+    await client.query("INSERT INTO t (id, team, value) VALUES ('a', 'x', 1)");
+    expect((await client.query('SELECT * FROM t')).rowCount).toBe(1);
+    expect(await count()).toBe('0');
+    await client.query('COMMIT');
+    expect(await count()).toBe('1');
+    await client.query('BEGIN');
+    await client.query("DELETE FROM t WHERE id = 'a'");
+    await client.query('ROLLBACK');
+    expect(await count()).toBe('1');
+  });
+
+  it('reports errors and fails the open transaction', async () => {
+    const client = await start();
+    const insert = "INSERT INTO t (id, team, value) VALUES ('a', 'x', 1)";
+    await expect(client.query('VACUUM')).rejects.toMatchObject({code: '42601'});
+    await expect(client.query('SELECT $1', [1])).rejects.toMatchObject({
+      code: '42601',
+    });
+    await client.query(insert);
+    await client.query('BEGIN');
+    await expect(client.query(insert)).rejects.toMatchObject({code: '23505'});
+    await expect(client.query('SELECT 1')).rejects.toMatchObject({
+      code: '25P02',
+    });
+    expect((await client.query('COMMIT')).command).toBe('ROLLBACK');
+    expect((await client.query('SELECT 1')).rowCount).toBe(1);
+  });
+
+  it('adds concurrent increments without losing one', async () => {
+    const client = await start({serviceMs: 1, slots: 4});
+    await client.query("INSERT INTO t (id, team, value) VALUES ('a', 'x', 0)");
+    const others = await Promise.all(
+      Array.from({length: 8}, () => connect(database!.port)),
+    );
+    await Promise.all(
+      others.map(async other => {
+        await other.query('BEGIN');
+        await other.query("UPDATE t SET value = value + 1 WHERE id = 'a'");
+        await other.query('COMMIT');
+      }),
+    );
+    const {rows} = await client.query('SELECT value FROM t');
+    expect(rows).toEqual([{value: '8'}]);
+    expect(database!.member.log.length).toBe(10);
+  });
+
+  it('cancels a running statement', async () => {
+    const client = await start();
+    const sleeping = client.query('SELECT pg_sleep(20)');
+    const {processID, secretKey} = client as unknown as {
+      processID: number;
+      secretKey: number;
+    };
+    const canceller = new pg.Client() as unknown as {
+      connection: {
+        on(event: string, run: () => void): void;
+        connect(port: number, host: string): void;
+        cancel(processID: number, secretKey: number): void;
+      };
+    };
+    const {connection} = canceller;
+    connection.on('connect', () => connection.cancel(processID, secretKey));
+    const stopped = expect(sleeping).rejects.toMatchObject({code: '57014'});
+    while ((await statements()) === 0) await setImmediate();
+    connection.connect(database!.port, '127.0.0.1');
+    await stopped;
+    expect((await client.query('SELECT 1')).rowCount).toBe(1);
+  });
+
+  it('streams a big answer', async () => {
+    const client = await start();
+    const {rows} = await client.query(
+      'SELECT generate_series(1,$1)',
+      [200_000],
+    );
+    expect(rows.length).toBe(200_000);
+    expect(rows.at(-1)).toEqual({generate_series: 200_000});
+  });
+
+  it('executes as many statements at once as it has slots', async () => {
+    await start({serviceMs: 2, slots: 2});
+    const others = await Promise.all(
+      Array.from({length: 6}, () => connect(database!.port)),
+    );
+    await Promise.all(others.map(other => other.query('SELECT 1')));
+    expect(await admin('counts')).toMatchObject({
+      statements: 6,
+      maxConcurrent: 2,
+    });
+  });
+
+  it('refuses connections above its limit, control ones apart', async () => {
+    const client = await start({maxConnections: 1});
+    await expect(connect(database!.port)).rejects.toMatchObject({
+      code: '53300',
+    });
+    const control = new pg.Client({
+      host: '127.0.0.1',
+      port: database!.port,
+      user: 'zinnia',
+      password: 'zinnia',
+      database: 'platform',
+    });
+    await control.connect();
+    clients.push(control);
+    const {rows} = await control.query('SELECT * FROM platform.status()');
+    expect(rows).toMatchObject([{role: 'primary', term: '1', applied: '1/1'}]);
+    await expect(
+      client.query('SELECT * FROM platform.status()'),
+    ).rejects.toMatchObject({code: '42501'});
+  });
+
+  it('refuses and records foreign credentials', async () => {
+    await start();
+    const stranger = new pg.Client({
+      host: '127.0.0.1',
+      port: database!.port,
+      user: 'tasman',
+      password: 'key-1',
+      database: 'claims',
+    });
+    await expect(stranger.connect()).rejects.toMatchObject({code: '28P01'});
+    expect(await admin('seen')).toMatchObject([
+      {user: 'zinnia', password: 'zinnia'},
+      {user: 'tasman', password: 'key-1'},
+    ]);
+  });
+});
+
+async function admin(path: string): Promise<unknown> {
+  const url = `http://127.0.0.1:${database!.adminPort}/${path}`;
+  return (await fetch(url)).json();
+}
+
+async function statements(): Promise<number> {
+  return ((await admin('counts')) as {statements: number}).statements;
+}
