--- a/src/targets/connection-set.ts
+++ b/src/targets/connection-set.ts
@@ -7,8 +7,8 @@
 /**
  * Runs tasks on at most `limit` connections, first come first served.
  *
- * A connection on which a task failed or ran out of time is closed: a silent
- * connection would otherwise hold every later task up.
+ * A connection on which a task ran out of time is closed: a silent connection
+ * would otherwise hold every later task up.
  */
 export class ConnectionSet {
   readonly #open: OpenConnection;
@@ -57,11 +57,8 @@
     }, timeoutMs);
     this.#busy.add(connection);
     try {
-      const result = await task(connection, timeoutMs);
-      if (connection.usable) this.#idle.push(connection);
-      return result;
+      return await task(connection, timeoutMs);
     } catch (err) {
-      connection.close();
       if (!expired) throw err;
       throw new TargetError(
         'lost',
@@ -70,6 +67,7 @@
     } finally {
       clearTimeout(timer);
       this.#busy.delete(connection);
+      if (connection.usable) this.#idle.push(connection);
     }
   }
 
--- a/standins/database/admin-server.ts
+++ b/standins/database/admin-server.ts
@@ -35,8 +35,8 @@
   const handler = handlers.get(`${req.method} ${url.pathname}`);
   if (handler === undefined) return reply(res, 404, {error: 'unknown path'});
   const body = await readBody(req);
-  const order = (body === '' ? {} : JSON.parse(body)) as AdminOrder;
   try {
+    const order = (body === '' ? {} : JSON.parse(body)) as AdminOrder;
     reply(res, 200, handler(url, order) ?? {ok: true});
   } catch (err) {
     reply(res, 400, {error: String(err)});
--- a/standins/database/answer-writer.ts
+++ b/standins/database/answer-writer.ts
@@ -31,6 +31,10 @@
     this.#silenced = true;
   }
 
+  get silenced(): boolean {
+    return this.#silenced;
+  }
+
   write(frame: Buffer): void {
     this.#pending.push(frame);
     this.#pendingBytes += frame.length;
--- a/standins/database/session.ts
+++ b/standins/database/session.ts
@@ -49,6 +49,11 @@
     this.#control = control;
   }
 
+  /** The position at which a read would run now. */
+  get position(): Position {
+    return this.#member.applied;
+  }
+
   get transactionCode(): TransactionCode {
     if (this.#transaction === undefined || !this.#transaction.explicit) {
       return 'I';
--- /dev/null
+++ b/test/targets/pg-connection.test.ts
@@ -0,0 +1,256 @@
+import net, {type AddressInfo} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
+import {serialize} from 'pg-protocol';
+import {afterEach, describe, expect, it} from 'vitest';
+import {
+  buildFrame,
+  FrameReader,
+  int16,
+  int32,
+} from '../../src/targets/frames.js';
+import {PgTargetConnection} from '../../src/targets/pg-connection.js';
+import {queryRows} from '../../src/targets/query-rows.js';
+import type {AnswerObserver} from '../../src/targets/types.js';
+import {
+  createDatabase,
+  type Database,
+  type DatabaseOptions,
+} from '../../standins/database/index.js';
+
+const AUTHENTICATION_OK = buildFrame('R', int32(0));
+const READY = buildFrame('Z', Buffer.from('I'));
+
+const servers: (net.Server | Database)[] = [];
+const connections: PgTargetConnection[] = [];
+
+async function connect(port: number, password = 'zinnia') {
+  const connection = await PgTargetConnection.connect({
+    host: '127.0.0.1',
+    port,
+    user: 'zinnia',
+    password,
+    database: 'claims',
+    timeoutMs: 2000,
+    maxFrameBytes: 4096,
+  });
+  connections.push(connection);
+  return connection;
+}
+
+async function start(options: Partial<DatabaseOptions> = {}) {
+  const database = await createDatabase({
+    primary: true,
+    connectCostMs: 0,
+    serviceMs: 0,
+    ...options,
+  });
+  servers.push(database);
+  return {database, connection: await connect(database.port)};
+}
+
+/** A database that accepts anyone and answers each message by `answer`. */
+async function startScripted(answer: (socket: net.Socket) => void) {
+  const server = net.createServer(async socket => {
+    socket.on('error', () => {});
+    const reader = new FrameReader(socket);
+    await reader.nextUntyped();
+    socket.write(Buffer.concat([AUTHENTICATION_OK, READY]));
+    while (await reader.next().catch(() => undefined)) answer(socket);
+  });
+  servers.push(server);
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  return await connect((server.address() as AddressInfo).port);
+}
+
+class Recorder implements AnswerObserver {
+  readonly chunks: Uint8Array[] = [];
+
+  onFrames(frames: Uint8Array): void {
+    this.chunks.push(frames);
+  }
+
+  async types(): Promise<string> {
+    let types = '';
+    const chunks = this.chunks;
+    const stream = (async function* () {
+      yield* chunks;
+    })();
+    for await (const {type} of new FrameReader(stream)) types += type;
+    return types;
+  }
+}
+
+afterEach(async () => {
+  connections.splice(0).forEach(connection => connection.close());
+  await Promise.all(
+    servers.splice(0).map(async server => {
+      await (server instanceof net.Server
+        ? new Promise(resolve => server.close(resolve))
+        : server.close());
+    }),
+  );
+});
+
+describe('target connection', () => {
+  it('passes on the answer of an extended batch and its end', async () => {
+    const {connection} = await start();
+    const batch = Buffer.concat([
+      serialize.parse({text: 'SELECT generate_series(1,$1)'}),
+      serialize.bind({values: ['3']}),
+      serialize.describe({type: 'P'}),
+      serialize.execute(),
+      serialize.sync(),
+    ]);
+    const recorder = new Recorder();
+    expect(await connection.run(batch, recorder)).toEqual({
+      transaction: 'idle',
+      position: {term: 1, offset: 1},
+      failed: false,
+    });
+    expect(await recorder.types()).toBe('12TDDDC');
+  });
+
+  it('reports failure and the transaction with the answer', async () => {
+    const {connection} = await start();
+    const run = (sql: string) =>
+      connection.run(serialize.query(sql), new Recorder());
+    expect((await run('BEGIN')).transaction).toBe('open');
+    expect(await run('VACUUM')).toMatchObject({
+      failed: true,
+      transaction: 'failed',
+    });
+    expect((await run('ROLLBACK')).transaction).toBe('idle');
+    expect(connection.usable).toBe(true);
+  });
+
+  it('refuses to start with a wrong password', async () => {
+    const {database} = await start();
+    await expect(connect(database.port, 'wrong')).rejects.toMatchObject({
+      kind: 'refused',
+      code: '28P01',
+    });
+  });
+
+  it('reports an unreachable database as not sent', async () => {
+    const {database} = await start();
+    await database.close();
+    await expect(connect(database.port)).rejects.toMatchObject({
+      kind: 'notSent',
+    });
+  });
+
+  it('stops reading while the observer is busy', async () => {
+    const rows = Buffer.concat(
+      Array.from({length: 256}, () => buildFrame('D', Buffer.alloc(4000))),
+    );
+    const total = 64 * rows.length;
+    let sent = 0;
+    let received = 0;
+    const connection = await startScripted(socket => {
+      const send = () => {
+        while (sent < total && socket.write(rows)) sent += rows.length;
+        if (sent >= total) socket.write(READY);
+        else socket.once('drain', () => (sent += rows.length) && send());
+      };
+      send();
+    });
+    await connection.run(serialize.query('SELECT 1'), {
+      onFrames: async frames => {
+        // Without back-pressure all would be sent during these rounds.
+        const rounds = received === 0 ? 5000 : 0;
+        for (let round = 0; round < rounds; round++) await setImmediate();
+        if (received === 0) expect(sent).toBeLessThan(total);
+        received += frames.length;
+      },
+    });
+    expect(received).toBe(total);
+  });
+
+  it('is not reused once its answer was abandoned at the start', async () => {
+    const {connection} = await start();
+    const recorder = new Recorder();
+    const onFrames = recorder.onFrames.bind(recorder);
+    const abandoned = connection.run(serialize.query('SELECT 1'), {
+      onStart: () => false,
+      onFrames,
+    });
+    await expect(abandoned).rejects.toMatchObject({kind: 'lost'});
+    expect(recorder.chunks).toEqual([]);
+    expect(connection.usable).toBe(false);
+    await expect(
+      connection.run(serialize.query('SELECT 1'), recorder),
+    ).rejects.toMatchObject({kind: 'notSent'});
+  });
+
+  it('is not reused once its observer failed', async () => {
+    const {connection} = await start();
+    const failed = connection.run(serialize.query('SELECT 1'), {
+      onFrames: () => {
+        throw new Error('the caller left');
+      },
+    });
+    await expect(failed).rejects.toThrow('the caller left');
+    expect(connection.usable).toBe(false);
+  });
+
+  it('loses the batch when the database dies during it', async () => {
+    const {database, connection} = await start();
+    const sleeping = connection.run(
+      serialize.query('SELECT pg_sleep(20)'),
+      new Recorder(),
+    );
+    const lost = expect(sleeping).rejects.toMatchObject({kind: 'lost'});
+    await database.close();
+    await lost;
+    expect(connection.usable).toBe(false);
+  });
+
+  it('notices while idle that the database closed it', async () => {
+    const {database, connection} = await start();
+    await queryRows(connection, 'SELECT 1');
+    await database.close();
+    while (connection.usable) await setImmediate();
+    await expect(queryRows(connection, 'SELECT 1')).rejects.toMatchObject({
+      kind: 'notSent',
+    });
+  });
+
+  it('cancels what it runs and stays usable', async () => {
+    const {database, connection} = await start();
+    const sleeping = queryRows(connection, 'SELECT pg_sleep(20)');
+    const stopped = expect(sleeping).rejects.toMatchObject({code: '57014'});
+    const url = `http://127.0.0.1:${database.adminPort}/counts`;
+    const statements = async () =>
+      ((await (await fetch(url)).json()) as {statements: number}).statements;
+    while ((await statements()) === 0) await setImmediate();
+    await connection.cancel();
+    await stopped;
+    expect(await queryRows(connection, 'SELECT current_user')).toEqual([
+      {current_user: 'zinnia'},
+    ]);
+  });
+
+  it('closes on a COPY or an oversized frame', async () => {
+    for (const frame of [
+      buildFrame('G', Buffer.alloc(1), int16(0)),
+      buildFrame('D', Buffer.alloc(5000)),
+    ]) {
+      const connection = await startScripted(socket => socket.write(frame));
+      await expect(queryRows(connection, 'SELECT 1')).rejects.toMatchObject({
+        kind: 'lost',
+      });
+      expect(connection.usable).toBe(false);
+    }
+  });
+
+  it('closes on an answer that nobody asked for', async () => {
+    let socket: net.Socket | undefined;
+    const connection = await startScripted(target => {
+      socket = target;
+      target.write(READY);
+    });
+    await queryRows(connection, 'SELECT 1');
+    socket!.write(Buffer.concat([buildFrame('C', Buffer.from('X\0')), READY]));
+    while (connection.usable) await setImmediate();
+  });
+});
