--- a/src/rollout/changes.ts
+++ b/src/rollout/changes.ts
@@ -14,6 +14,9 @@
   type Table,
 } from './table.js';
 
+/** A change of more rows is summarised by their number. */
+const MAX_NAMED_EDITS = 4;
+
 /** Writes and removes rows, compared with the version that the operator saw. */
 export interface RowsChange {
   readonly kind: 'rows';
@@ -83,7 +86,9 @@
 export function summarizeChange(change: Change): string {
   switch (change.kind) {
     case 'rows':
-      return change.edits.map(summarizeEdit).join(', ');
+      return change.edits.length > MAX_NAMED_EDITS
+        ? countEdits(change.edits)
+        : change.edits.map(summarizeEdit).join(', ');
     case 'grantKey':
       return `grant key ${change.key.id} to ${change.key.team}`;
     case 'withdrawKey':
@@ -93,6 +98,11 @@
   }
 }
 
+function countEdits(edits: readonly RowEdit[]): string {
+  const puts = edits.filter(edit => edit.kind === 'put').length;
+  return `set ${puts} rows, remove ${edits.length - puts} rows`;
+}
+
 function summarizeEdit(edit: RowEdit): string {
   const verb = edit.kind === 'put' ? 'set' : 'remove';
   return `${verb} ${formatRowRef(resolveEditRef(edit))}`;
--- a/src/rollout/config-codec.ts
+++ b/src/rollout/config-codec.ts
@@ -6,46 +6,47 @@
  */
 import {z} from 'zod';
 import {ConfigDocument, type ConfigState} from './config-document.js';
+import {TableError} from './faults.js';
+import {
+  decodeGroup,
+  decodeTeam,
+  encodeGroup,
+  encodeRow,
+  encodeTeam,
+  groupTupleSchema,
+  teamTupleSchema,
+  type GroupTuple,
+  type TeamTuple,
+} from './row-codec.js';
+import {RowHistory, type RowChange} from './row-history.js';
 import {
   createTable,
+  findRow,
   formatRowRef,
-  type GroupRow,
-  type RowInput,
-  type TeamRow,
+  type RowRef,
+  type TableRow,
 } from './table.js';
 
 /** The longest document that the store takes: its limit is 1 MB. */
 export const MAX_DOCUMENT_BYTES = 1_000_000;
 
 const versionSchema = z.int().min(0);
+const rowSchema = z.union([teamTupleSchema, groupTupleSchema]);
 
+/** The shape of the stored JSON; `rowVersions` follow teams, then groups. */
 const documentSchema = z.object({
   version: versionSchema,
-  teams: z.array(
+  teams: z.array(teamTupleSchema),
+  groups: z.array(groupTupleSchema),
+  rowVersions: z.array(versionSchema),
+  rowChanges: z.array(
     z.tuple([
       versionSchema,
+      z.enum(['team', 'group']),
       z.string(),
-      z.number(),
-      z.number(),
-      z.string(),
-      z.number().nullable(),
+      rowSchema.nullable(),
     ]),
   ),
-  groups: z.array(
-    z.tuple([
-      versionSchema,
-      z.string(),
-      z.number(),
-      z.number(),
-      z.number(),
-      z.string(),
-      z.string(),
-      z.boolean(),
-    ]),
-  ),
-  removedRows: z.array(
-    z.tuple([z.enum(['team', 'group']), z.string(), versionSchema]),
-  ),
   keys: z.array(
     z.tuple([z.string(), z.string(), z.string(), z.string(), z.number()]),
   ),
@@ -72,55 +73,39 @@
 /** Writes a document as the text of its store value. */
 export function encodeDocument(document: ConfigDocument): string {
   const {state} = document;
-  const rowVersion = (row: TeamRow | GroupRow) =>
-    state.rowVersions.get(formatRowRef(row)) ?? 0;
+  const {table, history} = state;
+  const rows = [...table.teams.values(), ...table.groups.values()];
   const encoded: EncodedDocument = {
     version: state.version,
-    teams: [...state.table.teams.values()].map(row => [
-      rowVersion(row),
-      row.name,
-      row.rate,
-      row.burst,
-      row.priority,
-      row.staleMs ?? null,
-    ]),
-    groups: [...state.table.groups.values()].map(row => [
-      rowVersion(row),
-      row.name,
-      row.oldWeight,
-      row.newWeight,
-      row.staleMs,
-      row.ack,
-      row.urgent,
-      row.open,
-    ]),
-    removedRows: state.removedRows.map(row => [
-      row.kind,
-      row.name,
-      row.atVersion,
-    ]),
-    keys: [...state.keys.values()].map(key => [
-      key.id,
-      key.team,
-      key.salt,
-      key.hash,
-      key.grantedAt,
+    teams: [...table.teams.values()].map(encodeTeam),
+    groups: [...table.groups.values()].map(encodeGroup),
+    rowVersions: rows.map(row => history.versions.get(formatRowRef(row)) ?? 0),
+    rowChanges: history.changes.map(({atVersion, kind, name, before}) => [
+      atVersion,
+      kind,
+      name,
+      before === undefined ? null : encodeRow(before),
     ]),
-    withdrawnKeys: [...state.withdrawnKeys.values()].map(key => [
-      key.id,
-      key.team,
-      key.atVersion,
+    keys: [...state.keys.values()].map(({id, team, salt, hash, grantedAt}) => [
+      id,
+      team,
+      salt,
+      hash,
+      grantedAt,
     ]),
-    retired: [...state.retired.values()].map(entry => [
-      entry.instance,
-      entry.atVersion,
+    withdrawnKeys: [...state.withdrawnKeys.values()].map(
+      ({id, team, atVersion}) => [id, team, atVersion],
+    ),
+    retired: [...state.retired.values()].map(({instance, atVersion}) => [
+      instance,
+      atVersion,
     ]),
-    edits: state.edits.map(edit => [
-      edit.id,
-      edit.version,
-      edit.at,
-      edit.by,
-      edit.summary,
+    edits: state.edits.map(({id, version, at, by, summary}) => [
+      id,
+      version,
+      at,
+      by,
+      summary,
     ]),
   };
   return JSON.stringify(encoded);
@@ -129,7 +114,12 @@
 /** Reads a document from its store value, or throws a {@link DocumentError}. */
 export function decodeDocument(text: string): ConfigDocument {
   const encoded = parseEncoded(text);
-  return new ConfigDocument(decodeState(encoded));
+  try {
+    return new ConfigDocument(decodeState(encoded));
+  } catch (err) {
+    if (err instanceof TableError) throw new DocumentError(err.message);
+    throw err;
+  }
 }
 
 function parseEncoded(text: string): EncodedDocument {
@@ -145,33 +135,14 @@
 }
 
 function decodeState(encoded: EncodedDocument): ConfigState {
-  const rowVersions = new Map<string, number>();
-  const inputs: RowInput[] = [];
-  for (const [version, name, rate, burst, priority, stale] of encoded.teams) {
-    const staleMs = stale === null ? {} : {staleMs: stale};
-    inputs.push({
-      cells: {kind: 'team', name, rate, burst, priority, ...staleMs},
-    });
-    rowVersions.set(formatRowRef({kind: 'team', name}), version);
-  }
-  for (const row of encoded.groups) {
-    const [version, name, oldWeight, newWeight, staleMs, ack, urgent, open] =
-      row;
-    const weights = {oldWeight, newWeight};
-    inputs.push({
-      cells: {kind: 'group', name, ...weights, staleMs, ack, urgent, open},
-    });
-    rowVersions.set(formatRowRef({kind: 'group', name}), version);
-  }
+  const table = createTable([
+    ...encoded.teams.map(decodeTeam),
+    ...encoded.groups.map(decodeGroup),
+  ]);
   return {
     version: encoded.version,
-    table: createTable(inputs),
-    rowVersions,
-    removedRows: encoded.removedRows.map(([kind, name, atVersion]) => ({
-      kind,
-      name,
-      atVersion,
-    })),
+    table,
+    history: decodeHistory(encoded),
     keys: indexById(
       encoded.keys.map(([id, team, salt, hash, grantedAt]) => ({
         id,
@@ -204,6 +175,39 @@
   };
 }
 
+function decodeHistory(encoded: EncodedDocument): RowHistory {
+  const refs: readonly RowRef[] = [
+    ...encoded.teams.map(([name]) => ({kind: 'team', name}) as const),
+    ...encoded.groups.map(([name]) => ({kind: 'group', name}) as const),
+  ];
+  const versions = new Map(
+    refs.map((ref, index) => [
+      formatRowRef(ref),
+      encoded.rowVersions[index] ?? 0,
+    ]),
+  );
+  const changes = encoded.rowChanges.map(
+    ([atVersion, kind, name, before]): RowChange => ({
+      atVersion,
+      kind,
+      name,
+      before: before === null ? undefined : decodeRow({kind, name}, before),
+    }),
+  );
+  return new RowHistory(versions, changes);
+}
+
+function decodeRow(
+  ref: RowRef,
+  tuple: TeamTuple | GroupTuple,
+): TableRow | undefined {
+  const input =
+    ref.kind === 'team'
+      ? decodeTeam(teamTupleSchema.parse(tuple))
+      : decodeGroup(groupTupleSchema.parse(tuple));
+  return findRow(createTable([input]), ref);
+}
+
 function indexById<Entry extends {readonly id: string}>(
   entries: readonly Entry[],
 ): ReadonlyMap<string, Entry> {
--- a/src/rollout/config-document.ts
+++ b/src/rollout/config-document.ts
@@ -1,9 +1,9 @@
 /** The operators' configuration: the table, the keys and the latest edits. */
 import type {KeyIndex, KeyRecord, WithdrawnKey} from './keys.js';
+import {RowHistory, type RowChange} from './row-history.js';
 import {
   EMPTY_TABLE,
   findRow,
-  formatRowRef,
   rowsEqual,
   type RowRef,
   type Table,
@@ -15,8 +15,6 @@
 
 /** Edits remembered for history and for settling lost answers. */
 export const MAX_EDITS = 64;
-/** Removed rows remembered, to recognise a stale base version. */
-export const MAX_REMOVED_ROWS = 512;
 /** Withdrawn keys remembered; older ones are refused as unknown. */
 export const MAX_WITHDRAWN_KEYS = 512;
 /** Retired instances remembered. */
@@ -34,11 +32,6 @@
   readonly summary: string;
 }
 
-/** A row that was removed, and the version that removed it. */
-export interface RemovedRow extends RowRef {
-  readonly atVersion: number;
-}
-
 /** A VM instance that lost its budget shares for good. */
 export interface RetiredInstance {
   readonly instance: string;
@@ -54,9 +47,7 @@
 export interface ConfigState {
   readonly version: number;
   readonly table: Table;
-  /** The version that last changed each row, by `formatRowRef`. */
-  readonly rowVersions: ReadonlyMap<string, number>;
-  readonly removedRows: readonly RemovedRow[];
+  readonly history: RowHistory;
   readonly keys: ReadonlyMap<string, KeyRecord>;
   readonly withdrawnKeys: ReadonlyMap<string, WithdrawnKey>;
   readonly retired: ReadonlyMap<string, RetiredInstance>;
@@ -67,8 +58,7 @@
 const EMPTY_STATE: ConfigState = {
   version: 0,
   table: EMPTY_TABLE,
-  rowVersions: new Map(),
-  removedRows: [],
+  history: RowHistory.EMPTY,
   keys: new Map(),
   withdrawnKeys: new Map(),
   retired: new Map(),
@@ -148,14 +138,14 @@
     return oldest === undefined || oldest.version <= version + 1;
   }
 
-  /** The version that last wrote or removed a row; 0 if none is known. */
+  /** The version that last wrote or removed a row. */
   rowChangedAt(ref: RowRef): number {
-    const written = this.#state.rowVersions.get(formatRowRef(ref));
-    if (written !== undefined) return written;
-    const removed = this.#state.removedRows.filter(
-      row => row.kind === ref.kind && row.name === ref.name,
-    );
-    return removed.at(-1)?.atVersion ?? this.#forgottenRemovalVersion();
+    return this.#state.history.changedAt(ref);
+  }
+
+  /** The table at an older version; undefined if that is forgotten. */
+  tableAt(version: number): Table | undefined {
+    return this.#state.history.tableAt(version, this.table);
   }
 
   /**
@@ -167,29 +157,21 @@
   withRows(edits: readonly RowEdit[]): ConfigDocument {
     const teams = new Map(this.table.teams);
     const groups = new Map(this.table.groups);
-    const rowVersions = new Map(this.#state.rowVersions);
-    const removed = [...this.#state.removedRows];
-    const next = this.version + 1;
+    const atVersion = this.version + 1;
+    const changes: RowChange[] = [];
     for (const edit of edits) {
-      const ref = resolveEditRef(edit);
-      const current = findRow({teams, groups}, ref);
+      const {kind, name} = resolveEditRef(edit);
+      const before = findRow({teams, groups}, {kind, name});
       const wanted = edit.kind === 'put' ? edit.row : undefined;
-      if (rowsEqual(current, wanted)) continue;
-      if (wanted === undefined) {
-        (ref.kind === 'team' ? teams : groups).delete(ref.name);
-        rowVersions.delete(formatRowRef(ref));
-        removed.push({kind: ref.kind, name: ref.name, atVersion: next});
-        continue;
-      }
-      if (wanted.kind === 'team') teams.set(wanted.name, wanted);
-      else groups.set(wanted.name, wanted);
-      rowVersions.set(formatRowRef(ref), next);
+      if (rowsEqual(before, wanted)) continue;
+      changes.push({kind, name, atVersion, before});
+      if (wanted?.kind === 'team') teams.set(name, wanted);
+      else if (wanted?.kind === 'group') groups.set(name, wanted);
+      else (kind === 'team' ? teams : groups).delete(name);
     }
-    return this.#with({
-      table: {teams, groups},
-      rowVersions,
-      removedRows: removed.slice(-MAX_REMOVED_ROWS),
-    });
+    const table = {teams, groups};
+    const history = this.#state.history.with(changes, table);
+    return this.#with({table, history});
   }
 
   /** Adds a key. */
@@ -233,13 +215,6 @@
   #with(changes: Partial<ConfigState>): ConfigDocument {
     return new ConfigDocument({...this.#state, ...changes});
   }
-
-  /** Below this version a row's removal may no longer be remembered. */
-  #forgottenRemovalVersion(): number {
-    const {removedRows} = this.#state;
-    if (removedRows.length < MAX_REMOVED_ROWS) return 0;
-    return (removedRows[0]?.atVersion ?? 1) - 1;
-  }
 }
 
 function keepLatest<Value>(
--- a/src/rollout/table-csv.ts
+++ b/src/rollout/table-csv.ts
@@ -1,9 +1,15 @@
 /** The operators' table as a CSV file. */
-import {parse} from 'csv-parse/sync';
-import {CsvError} from 'csv-parse/sync';
+import {CsvError, parse} from 'csv-parse/sync';
 import {MAX_DOCUMENT_BYTES, encodeDocument} from './config-codec.js';
 import {ConfigDocument} from './config-document.js';
 import {TableError, type TableFault} from './faults.js';
+import {
+  CSV_COLUMNS,
+  formatCells,
+  isCsvColumn,
+  parseCells,
+  resolveCsvColumn,
+} from './table-cells.js';
 import {
   createTable,
   listRows,
@@ -15,33 +21,6 @@
 /** The largest file that is read. */
 export const MAX_FILE_BYTES = 1024 * 1024;
 
-/** Columns of the file, in order, and the property that each one sets. */
-const COLUMNS = {
-  kind: 'kind',
-  name: 'name',
-  old: 'oldWeight',
-  new: 'newWeight',
-  rate: 'rate',
-  burst: 'burst',
-  stale_ms: 'staleMs',
-  ack: 'ack',
-  urgent: 'urgent',
-  open: 'open',
-  priority: 'priority',
-} as const;
-
-/** A column of the file. */
-export type CsvColumn = keyof typeof COLUMNS;
-
-/** The columns of the file, in order. */
-export const CSV_COLUMNS = Object.keys(COLUMNS) as readonly CsvColumn[];
-
-const NUMBER_PATTERN = /^-?\d+(\.\d+)?$/;
-const BOOLEANS: ReadonlyMap<string, boolean> = new Map([
-  ['true', true],
-  ['false', false],
-]);
-
 interface CsvRecord {
   readonly info: {readonly lines: number};
   readonly record: readonly string[];
@@ -82,45 +61,6 @@
   return [CSV_COLUMNS.join(','), ...lines, ''].join('\n');
 }
 
-/** The cells of a row as the file writes them, by column. */
-export function formatCells(
-  row: TableRow,
-): Readonly<Partial<Record<CsvColumn, string>>> {
-  const properties = row as unknown as Readonly<Record<string, unknown>>;
-  const cells = CSV_COLUMNS.map(column => [
-    column,
-    properties[COLUMNS[column]],
-  ]).filter(([, value]) => value !== undefined);
-  return Object.fromEntries(
-    cells.map(([column, value]) => [column, String(value)]),
-  );
-}
-
-/**
- * Turns the file's cells into a row's properties; blank cells are left out.
- *
- * @example
- * parseCells({kind: 'team', name: 'lab', stale_ms: '500'});
- * // {kind: 'team', name: 'lab', staleMs: 500}
- */
-export function parseCells(
-  cells: Readonly<Partial<Record<CsvColumn, string>>>,
-): Readonly<Record<string, unknown>> {
-  const properties: Record<string, unknown> = {};
-  for (const column of CSV_COLUMNS) {
-    const cell = (cells[column] ?? '').trim();
-    if (cell === '') continue;
-    properties[COLUMNS[column]] = parseCell(column, cell);
-  }
-  return properties;
-}
-
-/** The file's name of a row's property, for messages. */
-export function resolveCsvColumn(property: string): string {
-  const column = CSV_COLUMNS.find(name => COLUMNS[name] === property);
-  return column ?? property;
-}
-
 /** Throws if a document with just this table would not fit in the store. */
 function checkDocumentSize(table: Table): void {
   const edits = listRows(table).map(row => ({kind: 'put', row}) as const);
@@ -134,12 +74,6 @@
   );
 }
 
-function parseCell(column: CsvColumn, cell: string): unknown {
-  if (column === 'kind' || column === 'name') return cell;
-  if (column === 'open') return BOOLEANS.get(cell) ?? cell;
-  return NUMBER_PATTERN.test(cell) ? Number(cell) : cell;
-}
-
 function formatRecord(row: TableRow): readonly string[] {
   const cells = formatCells(row);
   return CSV_COLUMNS.map(column => cells[column] ?? '');
@@ -221,10 +155,6 @@
   return fault.line ?? 0;
 }
 
-function isCsvColumn(name: string): name is CsvColumn {
-  return Object.hasOwn(COLUMNS, name);
-}
-
 function createHeaderFault(
   column: string,
   problem: string,
--- a/standins/store/messages.ts
+++ b/standins/store/messages.ts
@@ -1,7 +1,9 @@
 /** The messages of the etcd v3 JSON gateway that the stand-in speaks. */
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Change, KeyEntry, KeyRange} from './revisions.js';
 
+const MAX_REQUEST_BYTES = 4 * 1024 * 1024;
+
 /** A decoded request body. */
 export type Body = Readonly<Record<string, unknown>>;
 
@@ -84,6 +86,19 @@
   return {type: 'DELETE', kv: {key, mod_revision: String(change.revision)}};
 }
 
+/** Reads a request's JSON. */
+export async function readBody(req: IncomingMessage): Promise<Body> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > MAX_REQUEST_BYTES) throw new Error('the request is too large');
+    chunks.push(chunk);
+  }
+  const text = Buffer.concat(chunks).toString();
+  return text === '' ? {} : (JSON.parse(text) as Body);
+}
+
 /** Sends a JSON answer. */
 export function sendJson(res: ServerResponse, status: number, body: Body) {
   const text = JSON.stringify(body);
