--- /dev/null
+++ b/src/admission/demand-meter.ts
@@ -0,0 +1,49 @@
+/** Estimates how many statements a second callers offer. */
+
+import type {Clock} from '../platform/clock.js';
+
+const WINDOW_MS = 1_000;
+
+/**
+ * An exponentially weighted rate of events.
+ *
+ * @example
+ * const meter = new DemandMeter(clock);
+ * meter.record();
+ * meter.perSecond; // about 1
+ */
+export class DemandMeter {
+  readonly #clock: Clock;
+  #perSecond = 0;
+  #updatedAtMs: number;
+  #lastEventAtMs = -Infinity;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#updatedAtMs = clock.now();
+  }
+
+  /** Events a second, the last second weighing most. */
+  get perSecond(): number {
+    this.#decay();
+    return this.#perSecond;
+  }
+
+  /** How long ago the last event was. */
+  get idleMs(): number {
+    return this.#clock.now() - this.#lastEventAtMs;
+  }
+
+  record(): void {
+    this.#decay();
+    this.#perSecond += 1_000 / WINDOW_MS;
+    this.#lastEventAtMs = this.#updatedAtMs;
+  }
+
+  #decay(): void {
+    const nowMs = this.#clock.now();
+    const elapsedMs = Math.max(0, nowMs - this.#updatedAtMs);
+    this.#perSecond *= Math.exp(-elapsedMs / WINDOW_MS);
+    this.#updatedAtMs = nowMs;
+  }
+}
--- /dev/null
+++ b/src/admission/team-budget.ts
@@ -0,0 +1,403 @@
+/** One team's budget as this node sees it: as a holder, and maybe the owner. */
+
+import type {BudgetRecords} from './budget-record.js';
+import {DemandMeter} from './demand-meter.js';
+import {Ledger} from './ledger.js';
+import {Ownership} from './ownership.js';
+import type {RetirementTimers} from './retirement-timers.js';
+import {isNoShare} from './share.js';
+import type {SpendGuard} from './spend-guard.js';
+import {SyncSchedule} from './sync-schedule.js';
+import {TeamHolder, type SyncContext, type SyncPurpose} from './team-holder.js';
+import {TeamOwner} from './team-owner.js';
+import type {
+  Admission,
+  BudgetDeps,
+  BudgetLimits,
+  BudgetMessage,
+  BudgetReply,
+  BudgetStatus,
+  SyncMessage,
+} from './types.js';
+
+/** How long a statement waits for tokens from the owner. */
+const ASK_TIMEOUT_MS = 25;
+/** The same while the node has no owner yet, which takes store calls. */
+const FIRST_ASK_TIMEOUT_MS = 250;
+const REPORT_TIMEOUT_MS = 250;
+/** How often an ask follows a hint to another owner. */
+const MAX_HOPS = 3;
+const MIN_RETRY_MS = 1;
+const MAX_RETRY_MS = 60_000;
+/** When to come back to a node that may not spend. */
+const NO_STANDING_RETRY_MS = 1_000;
+
+const ADMITTED: Admission = {kind: 'admitted'};
+const NO_LIMITS: BudgetLimits = {rate: 0, burst: 0};
+
+/** What a team's budget is built from. */
+export interface TeamBudgetDeps extends BudgetDeps {
+  readonly team: string;
+  readonly guard: SpendGuard;
+  readonly records: BudgetRecords;
+  readonly retirements: RetirementTimers;
+  /** The epoch that this process last opened as a team's owner. */
+  readonly openedEpochs: Map<string, number>;
+  /** Sequence numbers that rise for as long as this process runs. */
+  readonly nextSeq: () => number;
+}
+
+/** Admits one team's statements at this node. */
+export class TeamBudget {
+  readonly #deps: TeamBudgetDeps;
+  readonly #meter: DemandMeter;
+  readonly #ownership: Ownership;
+  readonly #holder: TeamHolder;
+  readonly #schedule: SyncSchedule;
+  #owner: TeamOwner | undefined;
+  /** Earlier owners whose grants may not all be accounted for. */
+  #predecessors: readonly string[] = [];
+  #calls = 0;
+  #syncing: Promise<void> | undefined;
+  #asking = false;
+  #waiting = 0;
+
+  constructor(deps: TeamBudgetDeps) {
+    const {team, clock, guard, peers, records} = deps;
+    const self = deps.self.instance;
+    this.#deps = deps;
+    this.#meter = new DemandMeter(clock);
+    this.#ownership = new Ownership({team, self, guard, peers, records});
+    this.#holder = new TeamHolder(clock, guard, () => this.#limits());
+    this.#schedule = new SyncSchedule(clock);
+  }
+
+  /** Whether nothing would be lost by forgetting this budget. */
+  get isIdle(): boolean {
+    const isBusy = this.#calls > 0 || this.#syncing !== undefined;
+    if (isBusy || this.#owner !== undefined) return false;
+    if (!isNoShare(this.#holder.share)) return false;
+    return this.#schedule.isIdle(this.#meter);
+  }
+
+  /** The other instances on which this budget depends at this node. */
+  get dependsOn(): readonly string[] {
+    const owner = this.#owner;
+    const holders = owner?.holders ?? [];
+    const granted = [this.#holder.grantor, this.#ownership.owner];
+    const {instance: self} = this.#deps.self;
+    return [...holders, ...this.#predecessors, ...granted].filter(
+      instance => instance !== undefined && instance !== self,
+    ) as string[];
+  }
+
+  status(): BudgetStatus {
+    const owner = this.#owner;
+    return {
+      team: this.#deps.team,
+      epoch: this.#ownership.epoch,
+      owner: this.#ownership.owner,
+      share: owner?.pool ?? this.#holder.share,
+      tokens: owner?.tokens ?? this.#holder.tokens,
+    };
+  }
+
+  async admit(deadlineMs: number): Promise<Admission> {
+    this.#meter.record();
+    if (this.#trySpend()) return ADMITTED;
+    const canAsk = this.#deps.guard.maySpend() && this.#limits().burst >= 1;
+    if (canAsk && this.#schedule.mayAsk()) await this.#replenish(deadlineMs);
+    const isAdmitted = this.#trySpend();
+    this.#returnLoan();
+    return isAdmitted ? ADMITTED : this.#refusal();
+  }
+
+  async handle(message: BudgetMessage): Promise<BudgetReply> {
+    this.#calls += 1;
+    try {
+      return await this.#answer(message);
+    } finally {
+      this.#calls -= 1;
+    }
+  }
+
+  async #answer(message: BudgetMessage): Promise<BudgetReply> {
+    switch (message.kind) {
+      case 'sync':
+        return this.#serve(message);
+      case 'recall':
+        return this.#giveBack(message);
+      case 'moved':
+        this.#learn(message.epoch, message.owner);
+        return {kind: 'accepted'};
+    }
+  }
+
+  /** Does what is due: messages to the owner, and the owner's housekeeping. */
+  async tick(): Promise<void> {
+    this.#holder.refresh();
+    if (this.#owner !== undefined) return this.#tickOwner(this.#owner);
+    const purpose = this.#schedule.due(this.#meter, this.#holder, {
+      isOutdated: this.#holder.heldEpoch < this.#ownership.epoch,
+      isOrphan: !this.#ownership.isSettled,
+    });
+    if (purpose !== undefined) await this.#sync(purpose, REPORT_TIMEOUT_MS);
+  }
+
+  /** Hands everything back, and the ownership on. */
+  async leave(): Promise<void> {
+    const owner = this.#owner;
+    if (owner !== undefined) await this.#handOn(owner);
+    if (this.#owner !== undefined || isNoShare(this.#holder.share)) return;
+    await this.#sync('report', REPORT_TIMEOUT_MS);
+    await this.#sync('release', REPORT_TIMEOUT_MS);
+  }
+
+  /** Gives back at once what was lent for the statements just admitted. */
+  #returnLoan(): void {
+    const {share, tokens, hasExcess} = this.#holder;
+    const isLoan = share.rate === 0 && share.burst > 0 && hasExcess;
+    if (!isLoan || tokens >= 1 || this.#waiting > 0) return;
+    void this.#sync('report', REPORT_TIMEOUT_MS);
+  }
+
+  #limits(): BudgetLimits {
+    return this.#deps.config.limits(this.#deps.team) ?? NO_LIMITS;
+  }
+
+  #trySpend(): boolean {
+    return this.#owner?.trySpend() ?? this.#holder.trySpend();
+  }
+
+  #refusal(): Admission {
+    if (!this.#deps.guard.maySpend()) {
+      return {kind: 'refused', retryAfterMs: NO_STANDING_RETRY_MS};
+    }
+    if (this.#limits().burst < 1) {
+      return {kind: 'refused', retryAfterMs: MAX_RETRY_MS};
+    }
+    const ownMs = this.#owner?.msUntilToken() ?? this.#holder.msUntilToken();
+    const dueMs = Math.min(ownMs, this.#schedule.msUntilOwnerHasToken());
+    const boundedMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, dueMs));
+    return {kind: 'refused', retryAfterMs: Math.ceil(boundedMs)};
+  }
+
+  /** Waits for one ask, together with all statements that wait for it. */
+  async #replenish(deadlineMs: number): Promise<void> {
+    const {clock} = this.#deps;
+    const limitMs = this.#askTimeoutMs();
+    const waitMs = Math.min(limitMs, deadlineMs - clock.now());
+    if (waitMs <= 0) return;
+    this.#waiting += 1;
+    const done = new AbortController();
+    const asked = this.#ask(limitMs).finally(() => done.abort());
+    await Promise.race([asked, clock.sleep(waitMs, done.signal)]);
+    this.#waiting -= 1;
+  }
+
+  #askTimeoutMs(): number {
+    const isFirst = isNoShare(this.#holder.share) && !this.#ownership.isSettled;
+    return isFirst ? FIRST_ASK_TIMEOUT_MS : ASK_TIMEOUT_MS;
+  }
+
+  async #ask(timeoutMs: number): Promise<void> {
+    if (this.#owner !== undefined) return this.#owner.recallTokens(1);
+    if (this.#syncing !== undefined) {
+      const joined = this.#asking;
+      await this.#syncing;
+      if (joined) return;
+    }
+    if (this.#holder.tokens >= this.#waiting) return;
+    await this.#sync('ask', timeoutMs);
+  }
+
+  /** Exchanges one message with the owner; calls join the one under way. */
+  async #sync(purpose: SyncPurpose, timeoutMs: number): Promise<void> {
+    if (this.#syncing !== undefined) return this.#syncing;
+    this.#asking = purpose === 'ask';
+    this.#syncing = this.#exchange(purpose, timeoutMs).finally(() => {
+      this.#syncing = undefined;
+      this.#asking = false;
+    });
+    return this.#syncing;
+  }
+
+  async #exchange(purpose: SyncPurpose, timeoutMs: number): Promise<void> {
+    const self = this.#deps.self.instance;
+    let avoided: string | undefined;
+    for (let hop = 0; hop < MAX_HOPS; hop++) {
+      const to = await this.#ownership.locate();
+      if (to === undefined || to === avoided) break;
+      if (to === self) {
+        if (await this.#becomeOwner()) return;
+        if (this.#ownership.owner === undefined) break;
+        continue;
+      }
+      const reply = await this.#call(to, purpose, timeoutMs);
+      if (reply?.kind !== 'notOwner') return;
+      avoided = to;
+    }
+    this.#schedule.failed();
+  }
+
+  async #call(
+    to: string,
+    purpose: SyncPurpose,
+    timeoutMs: number,
+  ): Promise<BudgetReply | undefined> {
+    const message = this.#holder.beginSync(purpose, this.#context());
+    this.#schedule.sent(message.demand);
+    try {
+      const reply = await this.#deps.peers.call(to, message, timeoutMs);
+      this.#settle(message, reply);
+      return reply;
+    } catch {
+      this.#schedule.failed();
+      void this.#ownership.reload();
+      return undefined;
+    } finally {
+      this.#holder.giveUp(message.seq);
+    }
+  }
+
+  #settle(message: SyncMessage, reply: BudgetReply): void {
+    switch (reply.kind) {
+      case 'granted':
+        this.#learn(reply.epoch, reply.owner);
+        if (!this.#holder.accept(reply, this.#ownership.epoch)) return;
+        this.#schedule.answered(reply.askAgainMs, reply.retryAfterMs);
+        return;
+      case 'void':
+        if (reply.epoch < this.#ownership.epoch) return;
+        this.#learn(reply.epoch, reply.owner);
+        if (message.heldEpoch <= reply.epoch) this.#holder.clear();
+        return;
+      case 'notOwner':
+        this.#learn(reply.epoch, reply.owner);
+        return;
+      default:
+        this.#schedule.failed();
+    }
+  }
+
+  async #serve(sync: SyncMessage): Promise<BudgetReply> {
+    if (this.#deps.guard.isCutOff) return {kind: 'busy'};
+    const outdated = sync.knownEpoch > this.#ownership.epoch;
+    if (outdated) await this.#ownership.reload();
+    this.#stepDownIfSucceeded();
+    if (this.#owner === undefined) await this.#becomeOwner();
+    // What a holder tells a later owner is not counted by an earlier one.
+    const isInOffice = (this.#owner?.epoch ?? 0) >= sync.knownEpoch;
+    if (this.#owner !== undefined && isInOffice) return this.#owner.serve(sync);
+    const {epoch, owner} = this.#ownership;
+    return {kind: 'notOwner', epoch, owner};
+  }
+
+  #giveBack(recall: BudgetMessage & {kind: 'recall'}): BudgetReply {
+    this.#learn(recall.epoch, recall.owner);
+    const isCurrent = recall.epoch === this.#ownership.epoch;
+    const canAnswer = isCurrent && this.#owner === undefined;
+    if (!canAnswer || this.#holder.isAwaiting) return {kind: 'busy'};
+    if (!this.#deps.guard.maySpend()) return {kind: 'busy'};
+    const sync = this.#holder.giveBack(recall, this.#context());
+    return {kind: 'returned', sync};
+  }
+
+  #learn(epoch: number, owner: string | undefined): void {
+    this.#ownership.learn(epoch, owner);
+    this.#stepDownIfSucceeded();
+  }
+
+  /** Takes the ownership if it is vacant or recorded as this node's. */
+  async #becomeOwner(): Promise<boolean> {
+    const {guard, self} = this.#deps;
+    if (!guard.maySpend()) return false;
+    const isVacant = !this.#ownership.isSettled;
+    const isOurs = this.#ownership.owner === self.instance;
+    if (!isVacant && !isOurs) return false;
+    if (!(await this.#ownership.claim())) return false;
+    this.#open();
+    return this.#owner !== undefined;
+  }
+
+  #open(): void {
+    const {record} = this.#ownership;
+    const {openedEpochs, team} = this.#deps;
+    // An epoch is opened once, or its tokens would be credited again.
+    const lastEpoch = openedEpochs.get(team) ?? 0;
+    if (record === undefined || record.epoch <= lastEpoch) return;
+    openedEpochs.set(team, record.epoch);
+    const isNew = record.epoch === 1;
+    const ledger = isNew ? Ledger.createWhole() : Ledger.createUnaccounted();
+    const tokens = isNew ? this.#limits().burst : 0;
+    const held = this.#holder.clear();
+    this.#owner = this.#createOwner(record.epoch, ledger, tokens);
+    this.#owner.absorb(held.share, held.tokens);
+    this.#predecessors = record.predecessors;
+  }
+
+  #createOwner(epoch: number, ledger: Ledger, tokens: number): TeamOwner {
+    const {team, clock, guard, peers, self} = this.#deps;
+    const deps = {
+      team,
+      self: self.instance,
+      clock,
+      guard,
+      peers,
+      limits: () => this.#limits(),
+      ownDemand: () => this.#meter.perSecond,
+    };
+    return new TeamOwner(deps, epoch, ledger, tokens);
+  }
+
+  /** Goes on as a holder of the pool once another node owns the budget. */
+  #stepDownIfSucceeded(): void {
+    const owner = this.#owner;
+    if (owner === undefined || this.#ownership.epoch <= owner.epoch) return;
+    const {pool, tokens, epoch} = owner;
+    this.#owner = undefined;
+    this.#predecessors = [];
+    this.#holder.hold(pool, tokens, epoch, this.#deps.self.instance);
+  }
+
+  async #tickOwner(owner: TeamOwner): Promise<void> {
+    const {guard, retirements, self} = this.#deps;
+    if (guard.isCutOff || guard.isRetired(self.instance)) return;
+    for (const holder of owner.holders) {
+      if (retirements.isSafe(holder)) owner.reclaim(holder);
+    }
+    const open = this.#predecessors;
+    if (open.length > 0 && open.every(one => retirements.isSafe(one))) {
+      this.#predecessors = [];
+      owner.closeAdoption();
+      await this.#ownership.closePredecessors(owner.epoch);
+    }
+    await owner.askForReports();
+  }
+
+  async #handOn(owner: TeamOwner): Promise<void> {
+    const {peers, self, team} = this.#deps;
+    const next = this.#ownership.successor();
+    if (next === undefined || !(await this.#ownership.handOn(next))) return;
+    const {holders} = owner;
+    this.#stepDownIfSucceeded();
+    const {epoch} = this.#ownership;
+    const moved = {kind: 'moved', team, epoch, owner: next} as const;
+    await Promise.allSettled(
+      holders
+        .filter(holder => holder !== self.instance)
+        .map(holder => peers.call(holder, moved, REPORT_TIMEOUT_MS)),
+    );
+  }
+
+  #context(): SyncContext {
+    return {
+      team: this.#deps.team,
+      holder: this.#deps.self.instance,
+      seq: this.#deps.nextSeq(),
+      knownEpoch: this.#ownership.epoch,
+      demand: this.#meter.perSecond,
+      waiting: this.#waiting,
+    };
+  }
+}
--- a/src/admission/token-bucket.ts
+++ b/src/admission/token-bucket.ts
@@ -4,6 +4,12 @@
 
 const MS_PER_SECOND = 1_000;
 
+/**
+ * Slack for rounding, so that a caller who waits out `msUntil` is admitted.
+ * The bucket owes what it lends, so rounding never adds up.
+ */
+const ROUNDING_TOKENS = 1e-9;
+
 /** What a bucket refills by and holds at most. */
 export interface BucketSize {
   /** Tokens a second. */
@@ -47,7 +53,7 @@
   /** Takes `count` tokens, or none. */
   trySpend(count: number): boolean {
     this.#refill();
-    if (this.#tokens < count) return false;
+    if (this.#tokens + ROUNDING_TOKENS < count) return false;
     this.#tokens -= count;
     return true;
   }
@@ -77,8 +83,9 @@
   msUntil(count: number): number {
     this.#refill();
     const missing = count - this.#tokens;
-    if (missing <= 0) return 0;
-    if (count > this.#size.burst || this.#size.rate <= 0) return Infinity;
+    if (missing <= ROUNDING_TOKENS) return 0;
+    const fits = count <= this.#size.burst + ROUNDING_TOKENS;
+    if (!fits || this.#size.rate <= 0) return Infinity;
     return (missing / this.#size.rate) * MS_PER_SECOND;
   }
 
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -75,6 +75,8 @@
   /** The highest epoch that the holder knows. */
   readonly knownEpoch: number;
   readonly held: Share;
+  /** Tokens that the holder keeps. */
+  readonly tokens: number;
   /** Tokens that go back together with the part of the share given up. */
   readonly tokensBack: number;
   /** Statements a second that callers offer at this node. */
@@ -83,36 +85,30 @@
   readonly waiting: number;
 }
 
-/** The owner asks a holder to lower its share to `target` now. */
+/**
+ * The owner asks a holder for tokens and to lower its share to `target` now.
+ * Only a hint: the holder decides, and answers with what it holds.
+ */
 export interface RecallMessage {
   readonly kind: 'recall';
   readonly team: string;
   readonly epoch: number;
   readonly owner: string;
   readonly target: Share;
+  /** Tokens that other nodes wait for. */
+  readonly tokens: number;
 }
 
-/** One holder in the owner's ledger. */
-export interface LedgerEntry {
-  readonly holder: string;
-  /** The most that the holder can hold. */
-  readonly share: Share;
-  readonly seq: number;
-}
-
-/** A leaving owner hands its ledger to the next one. */
-export interface HandoverMessage {
-  readonly kind: 'handover';
+/** A leaving owner names the next one. */
+export interface MovedMessage {
+  readonly kind: 'moved';
   readonly team: string;
   readonly epoch: number;
   readonly owner: string;
-  readonly pool: Share;
-  readonly tokens: number;
-  readonly entries: readonly LedgerEntry[];
 }
 
 /** A call of the peer method `budget`. */
-export type BudgetMessage = SyncMessage | RecallMessage | HandoverMessage;
+export type BudgetMessage = SyncMessage | RecallMessage | MovedMessage;
 
 /** The owner's answer to a sync. */
 export interface GrantReply {
@@ -128,6 +124,8 @@
   readonly target: Share;
   /** How long the holder should not ask for tokens again. */
   readonly askAgainMs: number;
+  /** When the owner expects to have a token. */
+  readonly retryAfterMs: number;
 }
 
 /** An answer of the peer method `budget`. */
--- /dev/null
+++ b/test/admission/cluster.ts
@@ -0,0 +1,265 @@
+import {BudgetService} from '../../src/admission/budget-service.js';
+import type {
+  BudgetLimits,
+  BudgetMessage,
+  BudgetReply,
+  NodeRef,
+  Standing,
+} from '../../src/admission/types.js';
+import {StoreError} from '../../src/platform/store.js';
+import {NodeClock, VirtualClock} from '../fakes/virtual-clock.js';
+import {createRandom, rendezvousOrder, type SeededRandom} from './random.js';
+import {RecordStore} from './record-store.js';
+
+export const STANDING_LIMIT_MS = 3_000;
+const HEARTBEAT_MS = 100;
+const LIST_LAG_MS = 1_000;
+
+/** Faults of the network between nodes. */
+export interface NetworkFaults {
+  readonly lossRatio: number;
+  readonly repeatRatio: number;
+  /** Share of messages that take up to `slowMs`. */
+  readonly slowRatio: number;
+  readonly slowMs: number;
+}
+
+const NO_FAULTS: NetworkFaults = {
+  lossRatio: 0,
+  repeatRatio: 0,
+  slowRatio: 0,
+  slowMs: 0,
+};
+
+export interface ClusterOptions {
+  readonly nodes: number;
+  readonly seed: number;
+  readonly limits: Readonly<Record<string, BudgetLimits>>;
+  readonly faults?: NetworkFaults;
+  /** Relative errors of the nodes' clocks, by index. */
+  readonly clockErrors?: readonly number[];
+}
+
+/** One statement that was decided. */
+export interface Decision {
+  readonly team: string;
+  readonly atMs: number;
+  readonly node: string;
+  readonly retryAfterMs: number | undefined;
+}
+
+/** A process of the cluster and what it has heard. */
+export class ClusterNode {
+  isDead = false;
+  isCut = false;
+  diedAtMs = Infinity;
+  heardAtMs: number;
+  limits: ReadonlyMap<string, BudgetLimits>;
+  retired: ReadonlySet<string>;
+
+  constructor(
+    readonly ref: NodeRef,
+    readonly clock: NodeClock,
+    config: ConfigDocument,
+  ) {
+    this.heardAtMs = clock.now();
+    this.limits = new Map(config.limits);
+    this.retired = new Set(config.retired);
+  }
+
+  get isRunning(): boolean {
+    return !this.isDead && !this.clock.paused;
+  }
+
+  standing(isStoreDown: boolean): Standing {
+    const silentMs = this.clock.now() - this.heardAtMs;
+    if (silentMs >= STANDING_LIMIT_MS) return 'cutOff';
+    return isStoreDown ? 'outage' : 'current';
+  }
+}
+
+interface ConfigDocument {
+  readonly limits: Map<string, BudgetLimits>;
+  readonly retired: Set<string>;
+}
+
+/** Nodes with budgets, a store, a configuration and a network that fails. */
+export class Cluster {
+  readonly time = new VirtualClock(1);
+  readonly store: RecordStore;
+  readonly decisions: Decision[] = [];
+  readonly nodes: ClusterNode[] = [];
+  readonly services = new Map<string, BudgetService>();
+  readonly random: SeededRandom;
+  faults: NetworkFaults;
+  messages = 0;
+  readonly #config: ConfigDocument;
+  #nextInstance = 1;
+
+  constructor(options: ClusterOptions) {
+    this.random = createRandom(options.seed);
+    this.store = new RecordStore(this.time);
+    this.faults = options.faults ?? NO_FAULTS;
+    this.#config = {
+      limits: new Map(Object.entries(options.limits)),
+      retired: new Set(),
+    };
+    for (let i = 0; i < options.nodes; i++) {
+      this.startNode(`vm${i}`, options.clockErrors?.[i] ?? 0);
+    }
+    this.#heartbeat();
+  }
+
+  startNode(vm: string, clockError: number): ClusterNode {
+    const ref = {vm, instance: `i${this.#nextInstance++}-${vm}`};
+    const clock = this.time.forNode({rate: 1 + clockError, offsetMs: 1_000});
+    const node = new ClusterNode(ref, clock, this.#config);
+    const service = new BudgetService({
+      self: ref,
+      clock,
+      random: this.random,
+      store: this.store.seenBy(node),
+      standing: {standing: () => node.standing(this.store.isDown)},
+      config: {
+        limits: team => node.limits.get(team),
+        retired: () => node.retired,
+        retire: instance => this.#retire(node, instance),
+      },
+      peers: {
+        call: (to, message, timeoutMs) =>
+          this.#call(node, to, message, timeoutMs),
+        live: () => this.#live(),
+        homeOrder: key => rendezvousOrder(key, this.#live()),
+      },
+      options: {standingLimitMs: STANDING_LIMIT_MS},
+    });
+    this.nodes.push(node);
+    this.services.set(ref.instance, service);
+    service.start();
+    return node;
+  }
+
+  /** The running processes. */
+  get alive(): readonly ClusterNode[] {
+    return this.nodes.filter(node => !node.isDead);
+  }
+
+  kill(node: ClusterNode): void {
+    node.isDead = true;
+    node.diedAtMs = this.time.now();
+    node.clock.pause();
+  }
+
+  /** Ends a process in order. */
+  async leave(node: ClusterNode): Promise<void> {
+    await this.services.get(node.ref.instance)?.stop();
+    if (!node.isDead) this.kill(node);
+  }
+
+  /** Changes the table; nodes hear of it at their next heartbeat. */
+  setLimits(team: string, limits: BudgetLimits): void {
+    this.#config.limits.set(team, limits);
+  }
+
+  /** Decides on one statement at `node` and records the outcome. */
+  async admit(node: ClusterNode, team: string): Promise<void> {
+    if (!node.isRunning) return;
+    const service = this.services.get(node.ref.instance);
+    const res = await service?.admit(team, node.clock.now() + 500);
+    if (res === undefined) return;
+    this.decisions.push({
+      team,
+      atMs: this.time.now(),
+      node: node.ref.instance,
+      retryAfterMs: res.kind === 'refused' ? res.retryAfterMs : undefined,
+    });
+  }
+
+  /** Offers statements at random moments, `perSecond` on average. */
+  offer(
+    team: string,
+    perSecond: number,
+    untilMs: number,
+    pick: () => ClusterNode | undefined,
+  ): void {
+    const next = () => {
+      const gapMs = (-Math.log(1 - this.random.next()) / perSecond) * 1_000;
+      this.time.schedule(gapMs, () => {
+        if (this.time.now() >= untilMs) return;
+        const node = pick();
+        if (node !== undefined) void this.admit(node, team);
+        next();
+      });
+    };
+    next();
+  }
+
+  async stop(): Promise<void> {
+    for (const node of this.alive) this.kill(node);
+    await this.time.settle();
+  }
+
+  #live(): readonly NodeRef[] {
+    const nowMs = this.time.now();
+    return this.nodes
+      .filter(node => nowMs < node.diedAtMs + LIST_LAG_MS)
+      .map(node => node.ref);
+  }
+
+  #heartbeat(): void {
+    for (const node of this.nodes) {
+      if (!node.isRunning || node.isCut) continue;
+      node.heardAtMs = node.clock.now();
+      node.limits = new Map(this.#config.limits);
+      node.retired = new Set(this.#config.retired);
+    }
+    this.time.schedule(HEARTBEAT_MS, () => this.#heartbeat());
+  }
+
+  async #retire(node: ClusterNode, instance: string): Promise<void> {
+    await this.time.sleep(2);
+    if (this.store.isDown || node.isCut) {
+      throw new StoreError('notSent', 'the store does not answer');
+    }
+    this.#config.retired.add(instance);
+  }
+
+  #call(
+    from: ClusterNode,
+    to: string,
+    message: BudgetMessage,
+    timeoutMs: number,
+  ): Promise<BudgetReply> {
+    return new Promise((resolve, reject) => {
+      const fail = () => reject(new Error('no answer in time'));
+      void from.clock.sleep(timeoutMs).then(fail);
+      const target = this.nodes.find(node => node.ref.instance === to);
+      if (target === undefined) return;
+      const serve = async () => {
+        const service = this.services.get(to);
+        const copy = structuredClone(message);
+        const reply = await service?.handle(copy, from.ref.vm);
+        if (reply === undefined) return;
+        this.#deliver(target, from, () => resolve(structuredClone(reply)));
+      };
+      this.#deliver(from, target, () => void serve());
+    });
+  }
+
+  #deliver(from: ClusterNode, to: ClusterNode, run: () => void): void {
+    this.messages += 1;
+    const {lossRatio, repeatRatio, slowRatio, slowMs} = this.faults;
+    const copies = this.random.next() < repeatRatio ? 2 : 1;
+    for (let i = 0; i < copies; i++) {
+      if (this.random.next() < lossRatio) continue;
+      const isSlow = this.random.next() < slowRatio;
+      const delayMs = 0.8 + this.random.next() * (isSlow ? slowMs : 0.6);
+      this.time.schedule(delayMs, () => {
+        if (from.isCut || to.isCut || to.isDead) return;
+        to.clock.whenRunning(() => {
+          if (!to.isDead) run();
+        });
+      });
+    }
+  }
+}
--- /dev/null
+++ b/test/admission/record-store.ts
@@ -0,0 +1,79 @@
+import {
+  StoreError,
+  type Store,
+  type StoredValue,
+  type SwapResult,
+} from '../../src/platform/store.js';
+import type {VirtualClock} from '../fakes/virtual-clock.js';
+
+const CALL_MS = 2;
+
+/** What bears on whether a node reaches the store. */
+export interface StoreClient {
+  readonly isCut: boolean;
+}
+
+/** The calls that budgets make to the store, with outages and lost answers. */
+export class RecordStore {
+  isDown = false;
+  /** Share of writes whose answer is lost. */
+  lostAnswerRatio = 0;
+  readonly #time: VirtualClock;
+  readonly #values = new Map<string, StoredValue>();
+  #revision = 0;
+  #writes = 0;
+
+  constructor(time: VirtualClock) {
+    this.#time = time;
+  }
+
+  /** The number of writes so far. */
+  get writes(): number {
+    return this.#writes;
+  }
+
+  /** The store as one node reaches it. */
+  seenBy(client: StoreClient): Store {
+    const unused = () => {
+      throw new Error('budgets need no leases and no watches of their own');
+    };
+    return {
+      get: async key => {
+        await this.#reach(client);
+        return this.#values.get(key);
+      },
+      compareAndSwap: async (key, expected, value) => {
+        await this.#reach(client);
+        const res = this.#swap(key, expected, value);
+        this.#writes += 1;
+        if (this.#writes * this.lostAnswerRatio >= 1) {
+          this.#writes = 0;
+          throw new StoreError('unknown', 'the answer was lost');
+        }
+        return res;
+      },
+      list: unused,
+      watch: unused,
+      grantLease: unused,
+      keepAlive: unused,
+      revokeLease: unused,
+    };
+  }
+
+  async #reach(client: StoreClient): Promise<void> {
+    await this.#time.sleep(CALL_MS);
+    if (!this.isDown && !client.isCut) return;
+    throw new StoreError('notSent', 'the store does not answer');
+  }
+
+  #swap(key: string, expected: number, value: string): SwapResult {
+    const current = this.#values.get(key);
+    if ((current?.revision ?? 0) !== expected) {
+      return {kind: 'conflict', current};
+    }
+    this.#revision += 1;
+    const revision = this.#revision;
+    this.#values.set(key, {key, value, revision});
+    return {kind: 'swapped', revision};
+  }
+}
