--- a/src/admission/allocation.ts
+++ b/src/admission/allocation.ts
@@ -13,7 +13,7 @@
 const MIN_SHARE_TOKENS = 2;
 
 /** Demand over this part of the rate leaves nothing to keep for later. */
-const OVERLOAD_RATIO = 1.1;
+const OVERLOAD_RATIO = 1.3;
 
 /** Whether callers offer clearly more than the rate. */
 export function isOverloaded(
--- a/src/admission/retirement-watch.ts
+++ b/src/admission/retirement-watch.ts
@@ -4,7 +4,7 @@
 import type {BudgetConfigPort, BudgetPeers, StandingPort} from './types.js';
 
 /** How long an instance must be missing from the live nodes. */
-const RETIRE_AFTER_MS = 5_000;
+const RETIRE_AFTER_MS = 3_000;
 /** How much longer each next node waits, so that one edit is enough. */
 const STAGGER_MS = 1_000;
 const MAX_STAGGER_MS = 5_000;
--- a/src/admission/team-owner.ts
+++ b/src/admission/team-owner.ts
@@ -33,9 +33,10 @@
 const REPORT_TIMEOUT_MS = 250;
 const MAX_RECALLS = 8;
 /** Pause between two rounds of recalls that brought too little. */
-const RECALL_PAUSE_MS = 20;
-/** A holder with fewer spare tokens than this is not asked for them. */
-const MIN_RECALL_TOKENS = 0.25;
+const RECALL_PAUSE_MS = 25;
+const FRUITFUL_RECALL_TOKENS = 4;
+/** A round brings tokens for this long ahead, so that rounds are few. */
+const RECALL_AHEAD_S = 0.02;
 /** An asking node is given tokens for this long ahead, if there are plenty. */
 const ASK_AHEAD_S = 0.25;
 /** The part of the owner's tokens that may be given ahead of need. */
@@ -44,7 +45,7 @@
 const MIN_ASK_PAUSE_MS = 10;
 const MAX_ASK_PAUSE_MS = 100;
 /** Pause between asks, and rounds of recalls, while the team is overloaded. */
-const OVERLOAD_PAUSE_MS = 500;
+const OVERLOAD_PAUSE_MS = 1_000;
 /** A holder that was not heard of for this long is asked what it holds. */
 const REPORT_AFTER_MS = 10_000;
 
@@ -133,9 +134,11 @@
 
   /** Asks the holders with most tokens to spare for `wanted` of them. */
   async recallTokens(wanted: number, except?: string): Promise<void> {
-    if (this.#recalling !== undefined) return this.#recalling;
+    if (this.#recalling !== undefined) await this.#recalling;
+    this.#refit();
+    if (this.#bucket.tokens >= wanted) return;
     if (this.#deps.clock.now() < this.#nextRecallAtMs) return;
-    this.#recalling = this.#recallRound(wanted, except).finally(() => {
+    this.#recalling ??= this.#recallRound(wanted, except).finally(() => {
       this.#recalling = undefined;
     });
     return this.#recalling;
@@ -276,15 +279,16 @@
   }
 
   async #recallRound(wanted: number, except?: string): Promise<void> {
-    const missing = wanted - this.#bucket.tokens;
     const limits = this.#deps.limits();
+    const ahead = this.#totalDemand() * RECALL_AHEAD_S;
+    const before = this.#bucket.tokens;
+    const missing = wanted + ahead - before;
     const sources = [...this.#ledger.entries]
       .filter(([holder, entry]) => holder !== except && entry.share.burst > 0)
       .map(([holder, entry]) => ({
         holder,
         spare: this.#demands.spareTokens(holder, entry.share, limits),
       }))
-      .filter(({spare}) => spare >= MIN_RECALL_TOKENS)
       .sort((a, b) => b.spare - a.spare)
       .slice(0, MAX_RECALLS);
     await Promise.all(
@@ -293,7 +297,8 @@
       ),
     );
     this.#refit();
-    if (this.#bucket.tokens >= 1) return;
+    const isFruitful = this.#bucket.tokens - before >= FRUITFUL_RECALL_TOKENS;
+    if (isFruitful && !this.#isOverloaded()) return;
     const pauseMs = this.#isOverloaded() ? OVERLOAD_PAUSE_MS : RECALL_PAUSE_MS;
     this.#nextRecallAtMs = this.#deps.clock.now() + pauseMs;
   }
