--- a/src/peers/peer-pool.ts
+++ b/src/peers/peer-pool.ts
@@ -17,14 +17,19 @@
 /** How long a connection without calls is kept. */
 export const DEFAULT_IDLE_CLOSE_MS = 5_000;
 
-/** Calls over a connection made for the one call, to test the node itself. */
+/** Limits on making a connection. */
+export type ConnectOptions = Pick<CallOptions, 'timeoutMs' | 'signal'>;
+
+/** A connection of its own, to be closed by whoever opened it. */
+export interface PeerSession {
+  call(method: string, body: unknown, options: CallOptions): Promise<unknown>;
+  close(): void;
+}
+
+/** Also calls over new connections, which test the other node itself. */
 export interface FreshPeerCaller extends PeerCaller {
-  callFresh(
-    to: PeerAddress,
-    method: string,
-    body: unknown,
-    options: CallOptions,
-  ): Promise<unknown>;
+  /** Connects anew, whatever connections exist; rejects with `notSent`. */
+  openFresh(to: PeerAddress, options: ConnectOptions): Promise<PeerSession>;
 }
 
 /** Settings of a pool. */
@@ -102,22 +107,19 @@
     return link.call(method, body, this.#remaining(options, startMs));
   }
 
-  async callFresh(
+  async openFresh(
     to: PeerAddress,
-    method: string,
-    body: unknown,
-    options: CallOptions,
-  ): Promise<unknown> {
-    const startMs = this.#clock.now();
+    options: ConnectOptions,
+  ): Promise<PeerSession> {
     const opening = PeerLink.open({...this.#linkOptions, peer: to});
     try {
-      const link = await this.#waitFor(opening, to, options);
-      return await link.call(method, body, this.#remaining(options, startMs));
-    } finally {
-      void opening.then(
+      return await this.#waitFor(opening, to, options);
+    } catch (err) {
+      opening.then(
         link => link.close(),
         () => {},
       );
+      throw err;
     }
   }
 
@@ -161,7 +163,7 @@
   async #waitFor(
     opening: Promise<PeerLink>,
     to: PeerAddress,
-    {timeoutMs, signal}: CallOptions,
+    {timeoutMs, signal}: ConnectOptions,
   ): Promise<PeerLink> {
     const waited = new AbortController();
     const stop = () => waited.abort();
--- /dev/null
+++ b/test/fakes/virtual-node.ts
@@ -0,0 +1,134 @@
+/** One node of a virtual network. */
+
+import type {
+  ConnectOptions,
+  FreshPeerCaller,
+  PeerSession,
+} from '../../src/peers/peer-pool.js';
+import {
+  PeerError,
+  type CallOptions,
+  type PeerAddress,
+  type PeerHandler,
+} from '../../src/peers/types.js';
+import type {NodeClock} from './virtual-clock.js';
+import {VirtualConnection} from './virtual-connection.js';
+import type {TrafficCount, VirtualNetwork} from './virtual-network.js';
+
+/** How long a node waits for a connection to an unreachable node. */
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** How long an unused connection is kept. */
+const IDLE_CLOSE_MS = 5_000;
+
+/** Round trips of TCP's and the peers' handshakes. */
+const CONNECT_ROUND_TRIPS = 2;
+
+/** A node's end of the network: calls others and serves calls. */
+export class VirtualNode implements FreshPeerCaller {
+  readonly id: string;
+  readonly address: PeerAddress;
+  readonly clock: NodeClock;
+  readonly handlers: Map<string, PeerHandler>;
+  readonly #network: VirtualNetwork;
+  readonly #connections = new Map<string, VirtualConnection>();
+  /** Connections of other nodes to this one. */
+  readonly incoming = new Set<VirtualConnection>();
+  #traffic = newTraffic();
+
+  constructor(
+    network: VirtualNetwork,
+    id: string,
+    clock: NodeClock,
+    handlers: Record<string, PeerHandler>,
+  ) {
+    this.#network = network;
+    this.id = id;
+    this.address = {id, host: '127.0.0.1', port: 1};
+    this.clock = clock;
+    this.handlers = new Map(Object.entries(handlers));
+  }
+
+  async call(
+    to: PeerAddress,
+    method: string,
+    body: unknown,
+    options: CallOptions,
+  ): Promise<unknown> {
+    const startMs = this.clock.now();
+    const connection = await this.#connect(to, options);
+    const timeoutMs = options.timeoutMs - (this.clock.now() - startMs);
+    return connection.call(method, body, {...options, timeoutMs});
+  }
+
+  async openFresh(
+    to: PeerAddress,
+    options: ConnectOptions,
+  ): Promise<PeerSession> {
+    return this.#open(to, options);
+  }
+
+  /** Breaks every connection. */
+  end(): void {
+    const outgoing = this.#connections.values();
+    for (const connection of [...outgoing, ...this.incoming]) {
+      connection.close();
+    }
+  }
+
+  /** Makes the open connection to a node carry nothing more. */
+  silenceConnection(id: string): void {
+    this.#connections.get(id)?.silence();
+  }
+
+  /** Counts a message that this node sent or received. */
+  countFrame(sentBytes: number, receivedBytes: number): void {
+    if (sentBytes > 0) this.#traffic.frames++;
+    this.#traffic.sentBytes += sentBytes;
+    this.#traffic.receivedBytes += receivedBytes;
+  }
+
+  /** Traffic since the last call of this method. */
+  takeTraffic(): TrafficCount {
+    const traffic = this.#traffic;
+    this.#traffic = newTraffic();
+    return traffic;
+  }
+
+  async #connect(
+    to: PeerAddress,
+    options: ConnectOptions,
+  ): Promise<VirtualConnection> {
+    const existing = this.#connections.get(to.id);
+    if (existing?.isUsable(this.clock.now() - IDLE_CLOSE_MS)) return existing;
+    if (existing?.isIdle) existing.close();
+    const connection = await this.#open(to, options);
+    this.#connections.set(to.id, connection);
+    return connection;
+  }
+
+  async #open(
+    to: PeerAddress,
+    {timeoutMs, signal}: ConnectOptions,
+  ): Promise<VirtualConnection> {
+    if (signal?.aborted) throw new PeerError('notSent', 'call was cancelled');
+    const network = this.#network;
+    const waitMs = Math.min(timeoutMs, CONNECT_TIMEOUT_MS);
+    if (!network.reaches(this.id, to.id) || network.find(to)?.clock.paused) {
+      await this.clock.sleep(waitMs, signal);
+      throw new PeerError('notSent', `no connection to ${to.id} in time`);
+    }
+    const roundTrips = 2 * CONNECT_ROUND_TRIPS * network.drawLatencyMs();
+    await this.clock.sleep(Math.min(waitMs, roundTrips), signal);
+    const peer = network.find(to);
+    if (roundTrips > waitMs || peer === undefined || signal?.aborted) {
+      throw new PeerError('notSent', `no connection to ${to.id}`);
+    }
+    this.#traffic.connections++;
+    return new VirtualConnection(network, this, peer);
+  }
+}
+
+function newTraffic(): TrafficCount {
+  return {frames: 0, sentBytes: 0, receivedBytes: 0, connections: 0};
+}
