--- a/src/callers/statement-runner.ts
+++ b/src/callers/statement-runner.ts
@@ -87,6 +87,7 @@
         token: this.#parameters.token.at(group),
         staleMs: rules.staleMs,
         frames: req.frames,
+        commits: this.#commits(req.classification),
         pin: this.#pin,
       },
       req.sink,
@@ -124,6 +125,11 @@
     return isRead && this.#transaction === 'idle' ? 'read' : 'write';
   }
 
+  #commits({statements}: Classification): boolean {
+    if (this.#transaction === 'idle') return true;
+    return statements.some(({kind}) => kind === 'commit');
+  }
+
   #remember(position: Position): void {
     const {group} = this.#authority;
     this.#parameters.token = this.#parameters.token.with(group, position);
--- /dev/null
+++ b/src/home/database-lane.ts
@@ -0,0 +1,286 @@
+/**
+ * The way to one database: a fair queue in front of a small set of
+ * connections. A slot is a connection together with the right to use it.
+ */
+import {serialize} from 'pg-protocol';
+import {FairQueue} from '../admission/fair-queue.js';
+import type {DatabaseSpec} from '../groups/types.js';
+import type {Clock} from '../platform/clock.js';
+import {TargetError, type TargetConnection} from '../targets/types.js';
+import {notRun, type NotRun} from '../verdict/verdict.js';
+import type {Priority} from './types.js';
+
+/** Statements sent beyond the database's slots, so that none stands idle. */
+const EXTRA_CONCURRENCY = 1;
+/** Weight of the newest sample in the average cost of a statement. */
+const COST_SMOOTHING = 0.1;
+const INITIAL_COST_MS = 2;
+const RECONNECT_RETRY_MS = 100;
+/** A connection unused for longer is asked for a sign of life first. */
+const VALIDATE_AFTER_MS = 1_000;
+const VALIDATE_TIMEOUT_MS = 300;
+const IGNORE_ANSWER = {onFrames: () => {}};
+/** Connections that open transactions may not take from other work. */
+const UNPINNED_RESERVE = 2;
+
+/** What a slot is wanted for. */
+export interface SlotRequest {
+  readonly team: string;
+  readonly priority: Priority;
+  /** When the caller gives up, on the node's monotonic clock. */
+  readonly deadlineAt: number;
+}
+
+/** The outcome of asking for a slot. */
+export type SlotResult =
+  | {readonly kind: 'granted'; readonly slot: Slot}
+  | {readonly kind: 'refused'; readonly verdict: NotRun};
+
+/** A connection in use. */
+export interface Slot {
+  readonly connection: TargetConnection;
+  /** Keeps the connection for an open transaction, out of the concurrency. */
+  pin(): void;
+  /** Ends the use; an unusable connection is dropped. */
+  release(): void;
+}
+
+/** Settings of a lane. */
+export interface DatabaseLaneOptions {
+  readonly clock: Clock;
+  readonly spec: DatabaseSpec;
+  readonly connect: () => Promise<TargetConnection>;
+  /** Connections that this node may hold to the database. */
+  readonly connectionShare: () => number;
+  readonly weightOf: (team: string) => number;
+}
+
+interface IdleConnection {
+  readonly connection: TargetConnection;
+  readonly since: number;
+}
+
+interface Waiter {
+  readonly req: SlotRequest;
+  readonly settle: (result: SlotResult) => void;
+}
+
+/**
+ * Grants slots of one database, urgent work first, fairly between teams.
+ *
+ * @example
+ * const result = await lane.acquire({team, priority: 'urgent', deadlineAt});
+ * if (result.kind === 'granted') await result.slot.connection.run(frames, observer);
+ */
+export class DatabaseLane {
+  readonly #options: DatabaseLaneOptions;
+  readonly #queue: FairQueue<Waiter>;
+  readonly #idle: IdleConnection[] = [];
+  #running = 0;
+  #pinned = 0;
+  #costMs = INITIAL_COST_MS;
+  #closed = false;
+
+  constructor(options: DatabaseLaneOptions) {
+    this.#options = options;
+    this.#queue = new FairQueue<Waiter>({
+      clock: options.clock,
+      weightOf: options.weightOf,
+      concurrency: () => this.#limit,
+    });
+  }
+
+  /** Requests that it runs or that wait for it. */
+  get outstanding(): number {
+    return this.#running + this.#queue.size;
+  }
+
+  /** Connections that are open. */
+  get connections(): number {
+    return this.#idle.length + this.#running + this.#pinned;
+  }
+
+  /** Opens connections ahead of their use; failures are left to later. */
+  async warmUp(): Promise<void> {
+    const missing = this.#limit - this.connections;
+    const opened = await Promise.allSettled(
+      Array.from({length: Math.max(0, missing)}, this.#options.connect),
+    );
+    for (const one of opened) {
+      if (one.status === 'fulfilled') this.#keep(one.value);
+    }
+  }
+
+  /** Waits for a slot, or says at once that there will be none in time. */
+  async acquire(req: SlotRequest): Promise<SlotResult> {
+    if (this.#closed) return this.#unavailable('is no longer in the group');
+    if (this.#queue.size === 0 && this.#hasRoom) {
+      this.#running++;
+      return this.#open();
+    }
+    return this.#enqueue(req);
+  }
+
+  /** Opens nothing any more and closes what is idle. */
+  close(): void {
+    this.#closed = true;
+    for (const {connection} of this.#idle.splice(0)) connection.close();
+  }
+
+  get #limit(): number {
+    const {spec, connectionShare} = this.#options;
+    const room = connectionShare() - this.#pinned;
+    return Math.max(1, Math.min(spec.slots + EXTRA_CONCURRENCY, room));
+  }
+
+  get #hasRoom(): boolean {
+    return this.#running < this.#limit;
+  }
+
+  #enqueue(req: SlotRequest): Promise<SlotResult> {
+    const {clock} = this.#options;
+    return new Promise(resolve => {
+      const settled = new AbortController();
+      const settle = (result: SlotResult) => {
+        settled.abort();
+        resolve(result);
+      };
+      const waiter: Waiter = {req, settle};
+      const offered = this.#queue.offer(waiter, {
+        team: req.team,
+        class: req.priority,
+        deadlineMs: req.deadlineAt,
+        costMs: this.#costMs,
+      });
+      if (offered.kind === 'refused') {
+        return settle(this.#overloaded(offered.retryAfterMs));
+      }
+      void clock
+        .sleep(req.deadlineAt - clock.now(), settled.signal)
+        .then(() => {
+          if (this.#queue.remove(waiter))
+            settle(this.#overloaded(this.#costMs));
+        });
+    });
+  }
+
+  /** Takes an idle connection or opens one; `#running` is counted already. */
+  async #open(): Promise<SlotResult> {
+    try {
+      const connection =
+        (await this.#reuse()) ?? (await this.#options.connect());
+      return {kind: 'granted', slot: this.#slot(connection)};
+    } catch (err) {
+      this.#leave();
+      const reason = err instanceof TargetError ? err.message : String(err);
+      return this.#unavailable(`can't be reached: ${reason}`);
+    }
+  }
+
+  /** An idle connection that still answers. */
+  async #reuse(): Promise<TargetConnection | undefined> {
+    for (;;) {
+      const idle = this.#idle.pop();
+      if (idle === undefined) return undefined;
+      const {connection, since} = idle;
+      if (!connection.usable) continue;
+      const idleMs = this.#options.clock.now() - since;
+      if (idleMs < VALIDATE_AFTER_MS) return connection;
+      if (await this.#answers(connection)) return connection;
+    }
+  }
+
+  /** Whether a connection answers; something between may have lost it. */
+  async #answers(connection: TargetConnection): Promise<boolean> {
+    const {clock} = this.#options;
+    const done = new AbortController();
+    void clock.sleep(VALIDATE_TIMEOUT_MS, done.signal).then(() => {
+      if (!done.signal.aborted) connection.close();
+    });
+    try {
+      await connection.run(serialize.sync(), IGNORE_ANSWER);
+      return connection.usable;
+    } catch {
+      return false;
+    } finally {
+      done.abort();
+    }
+  }
+
+  #slot(connection: TargetConnection): Slot {
+    const startedAt = this.#options.clock.now();
+    let pinned = false;
+    let released = false;
+    return {
+      connection,
+      pin: () => {
+        if (pinned || released) return;
+        pinned = true;
+        this.#pinned++;
+        this.#leave();
+      },
+      release: () => {
+        if (released) return;
+        released = true;
+        this.#keep(connection);
+        if (pinned) {
+          this.#pinned--;
+          return this.#dispatch();
+        }
+        this.#learnCost(this.#options.clock.now() - startedAt);
+        this.#leave();
+      },
+    };
+  }
+
+  /** Whether one more transaction may keep its connection. */
+  get mayPin(): boolean {
+    const share = this.#options.connectionShare();
+    return this.#pinned < Math.max(1, share - UNPINNED_RESERVE);
+  }
+
+  #keep(connection: TargetConnection): void {
+    const fits = this.connections < this.#options.connectionShare() + 1;
+    const clean = connection.usable && connection.transaction === 'idle';
+    if (!clean || !fits || this.#closed) return connection.close();
+    this.#idle.push({connection, since: this.#options.clock.now()});
+  }
+
+  #leave(): void {
+    this.#running--;
+    this.#dispatch();
+  }
+
+  #dispatch(): void {
+    while (this.#queue.size > 0 && this.#hasRoom) {
+      const taken = this.#queue.take();
+      if (taken === undefined) return;
+      if (taken.kind === 'expired') {
+        taken.item.settle(this.#overloaded(this.#costMs));
+        continue;
+      }
+      this.#running++;
+      void this.#open().then(taken.item.settle);
+    }
+  }
+
+  #learnCost(elapsedMs: number): void {
+    this.#costMs += COST_SMOOTHING * (elapsedMs - this.#costMs);
+  }
+
+  #overloaded(retryAfterMs: number): SlotResult {
+    const message = `the queue for ${this.#options.spec.id} is longer than the deadline allows`;
+    return {
+      kind: 'refused',
+      verdict: notRun('overloaded', message, Math.ceil(retryAfterMs)),
+    };
+  }
+
+  #unavailable(reason: string): SlotResult {
+    const message = `database ${this.#options.spec.id} ${reason}`;
+    return {
+      kind: 'refused',
+      verdict: notRun('targetUnavailable', message, RECONNECT_RETRY_MS),
+    };
+  }
+}
--- /dev/null
+++ b/src/home/group-home.ts
@@ -0,0 +1,145 @@
+/** The home of one database group: all of the group's work passes here. */
+import {switchPrimary, type SwitchResult} from '../groups/planned-switch.js';
+import type {GroupView} from '../groups/group-view.js';
+import type {Clock} from '../platform/clock.js';
+import type {GroupRow} from '../rollout/table.js';
+import {RetryBudget} from '../verdict/retry.js';
+import {GroupDatabases, type GroupDatabasesOptions} from './group-databases.js';
+import {ReadLoop} from './read-loop.js';
+import {ReadPath} from './read-path.js';
+import {Transactions} from './transactions.js';
+import type {ExecRequest, ExecResult, PartSink} from './types.js';
+import {WriteGate} from './write-gate.js';
+import {WritePath, type WriteAttempt} from './write-path.js';
+
+/** Settings of a group's home. */
+export interface GroupHomeOptions extends GroupDatabasesOptions {
+  readonly dataCentre: string;
+  /** The group's row of the table in force. */
+  readonly row: () => GroupRow | undefined;
+}
+
+/**
+ * Runs batches on one group.
+ *
+ * @example
+ * const home = new GroupHome(options);
+ * home.start();
+ * const result = await home.execute(req, sink, signal);
+ */
+export class GroupHome {
+  readonly #clock: Clock;
+  readonly #databases: GroupDatabases;
+  readonly #transactions: Transactions;
+  readonly #reads: ReadLoop;
+  readonly #writes: WritePath;
+  readonly #gate: WriteGate;
+  readonly #running = new Set<ExecRequest>();
+  #lastUsedAt: number;
+
+  constructor(options: GroupHomeOptions) {
+    this.#clock = options.clock;
+    this.#lastUsedAt = options.clock.now();
+    this.#databases = new GroupDatabases(options);
+    this.#transactions = new Transactions(options.clock);
+    this.#gate = new WriteGate(options.clock);
+    const databases = this.#databases;
+    const path = new ReadPath({
+      databases,
+      dataCentre: options.dataCentre,
+      weights: () => {
+        const row = options.row();
+        return {old: row?.oldWeight ?? 1, new: row?.newWeight ?? 0};
+      },
+    });
+    this.#reads = new ReadLoop({databases, path, retries: new RetryBudget()});
+    this.#writes = new WritePath({
+      databases,
+      transactions: this.#transactions,
+      gate: this.#gate,
+      ackMode: () => options.row()?.ack ?? 'replica',
+    });
+  }
+
+  /** Batches that run now, and transactions that are open. */
+  get active(): number {
+    return this.#running.size + this.#transactions.size;
+  }
+
+  /** How long it has had nothing to do. */
+  get idleMs(): number {
+    return this.active > 0 ? 0 : this.#clock.now() - this.#lastUsedAt;
+  }
+
+  start(): void {
+    this.#databases.start();
+    this.#transactions.start();
+  }
+
+  /** Stops at once; open transactions are rolled back. */
+  stop(): void {
+    this.#transactions.stop();
+    this.#databases.stop();
+  }
+
+  /** What is known of the group. */
+  view(): GroupView {
+    return this.#databases.view();
+  }
+
+  /** Runs one batch; every failure is in the result's verdict. */
+  async execute(
+    req: ExecRequest,
+    sink: PartSink,
+    signal: AbortSignal,
+  ): Promise<ExecResult> {
+    const deadlineAt = this.#clock.now() + req.deadlineMs;
+    this.#running.add(req);
+    try {
+      if (req.kind === 'read') {
+        return await this.#reads.run(req, sink, deadlineAt, signal);
+      }
+      return await this.#write({req, sink, deadlineAt, signal});
+    } finally {
+      this.#running.delete(req);
+      this.#lastUsedAt = this.#clock.now();
+    }
+  }
+
+  /** Whether a transaction is open here. */
+  holds(pin: string): boolean {
+    return this.#transactions.has(pin);
+  }
+
+  /** Rolls back a transaction whose caller is gone. */
+  release(pin: string): void {
+    this.#transactions.release(pin);
+  }
+
+  /** Asks the database to stop what a session runs. */
+  cancel(sessionId: string): void {
+    this.#databases.runs.cancel(sessionId);
+  }
+
+  /** Makes a database primary by the operator's order. */
+  switchTo(targetDatabaseId: string): Promise<SwitchResult> {
+    const {controls, agent} = this.#databases;
+    return switchPrimary({
+      clock: this.#clock,
+      controls,
+      targetDatabaseId,
+      hold: this.#gate,
+      nextOrderer: () => agent.nextOrderer(),
+    });
+  }
+
+  async #write(attempt: WriteAttempt): Promise<ExecResult> {
+    const {req, signal} = attempt;
+    const result =
+      req.pin === undefined
+        ? await this.#writes.run(attempt)
+        : await this.#writes.runPinned(attempt, req.pin);
+    if (signal.aborted && result.pin !== undefined) this.release(result.pin);
+    return result;
+  }
+}
--- /dev/null
+++ b/src/home/home-service.ts
@@ -0,0 +1,257 @@
+/** The groups that have, or had, their home on this VM. */
+import type {EvidencePort} from '../groups/evidence.js';
+import type {FailoverEvent} from '../groups/failover-agent.js';
+import type {GroupView} from '../groups/group-view.js';
+import type {SwitchResult} from '../groups/planned-switch.js';
+import type {DatabaseSpec, GroupSpec} from '../groups/types.js';
+import type {PeerHandler} from '../peers/types.js';
+import type {Clock, Random} from '../platform/clock.js';
+import type {GroupRow} from '../rollout/table.js';
+import {notRun} from '../verdict/verdict.js';
+import type {DatabaseAccess} from './group-databases.js';
+import {GroupHome} from './group-home.js';
+import {HOME_METHODS, hasStrings, isExecRequest} from './messages.js';
+import {
+  failedResult,
+  type ExecRequest,
+  type ExecResult,
+  type PartSink,
+} from './types.js';
+
+/** A home that nobody uses and that belongs elsewhere is closed after this. */
+const RETIRE_IDLE_MS = 30_000;
+const REVIEW_PERIOD_MS = 1_000;
+const REACH_TIMEOUT_MS = 400;
+/** Share of a database's connections for the first home, and for any other. */
+const FIRST_HOME_SHARE = 0.75;
+const OTHER_HOME_SHARE = 0.25;
+const MIN_CONNECTIONS = 2;
+
+/** What homes need of the node. */
+export interface HomeServiceOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly dataCentre: string;
+  readonly instanceId: string;
+  readonly access: DatabaseAccess;
+  readonly evidence: EvidencePort;
+  readonly groups: () => readonly GroupSpec[];
+  readonly row: (group: string) => GroupRow | undefined;
+  readonly weightOf: (team: string) => number;
+  /** Whether this VM is the first choice as the group's home. */
+  readonly isFirstHome: (group: string) => boolean;
+  readonly onFailover: (group: string, event: FailoverEvent) => void;
+}
+
+interface Entry {
+  readonly home: GroupHome;
+  /** The description it was built from, to notice a change. */
+  readonly fingerprint: string;
+}
+
+/** Runs batches on the groups whose home is here. */
+export class HomeService {
+  readonly #options: HomeServiceOptions;
+  readonly #homes = new Map<string, Entry>();
+  /** Homes of replaced descriptions that still have work. */
+  readonly #outgoing = new Set<GroupHome>();
+  readonly #stopping = new AbortController();
+  #draining = false;
+
+  constructor(options: HomeServiceOptions) {
+    this.#options = options;
+  }
+
+  /** The peer methods that it serves. */
+  get handlers(): ReadonlyMap<string, PeerHandler> {
+    return new Map<string, PeerHandler>([
+      [HOME_METHODS.exec, (body, ctx) => this.#serveExec(body, ctx)],
+      [HOME_METHODS.release, async body => this.#serveRelease(body)],
+      [HOME_METHODS.cancel, async body => this.#serveCancel(body)],
+      [HOME_METHODS.reach, body => this.#serveReach(body)],
+      [HOME_METHODS.switchPrimary, body => this.#serveSwitch(body)],
+    ]);
+  }
+
+  /** Batches that run and transactions that are open. */
+  get active(): number {
+    const homes = [...this.#homes.values()].map(({home}) => home);
+    return [...homes, ...this.#outgoing].reduce((sum, h) => sum + h.active, 0);
+  }
+
+  /** Begins to open homes where this VM is the first choice. */
+  start(): void {
+    void this.#reviewRegularly();
+  }
+
+  /** Takes no new work and waits for what runs, `drainMs` at most. */
+  async drain(drainMs: number): Promise<void> {
+    this.#draining = true;
+    const {clock} = this.#options;
+    const until = clock.now() + drainMs;
+    while (this.active > 0 && clock.now() < until) await clock.sleep(20);
+    this.stop();
+  }
+
+  stop(): void {
+    this.#stopping.abort();
+    for (const {home} of this.#homes.values()) home.stop();
+    for (const home of this.#outgoing) home.stop();
+    this.#homes.clear();
+  }
+
+  /** What the homes here know of their groups. */
+  views(): readonly GroupView[] {
+    return [...this.#homes.values()].map(({home}) => home.view());
+  }
+
+  /** Runs one batch; every failure is in the result's verdict. */
+  async execute(
+    req: ExecRequest,
+    sink: PartSink,
+    signal: AbortSignal,
+  ): Promise<ExecResult> {
+    if (this.#draining && req.pin === undefined) {
+      return failedResult(notRun('shuttingDown', 'this home is closing', 0));
+    }
+    const home = this.#homeFor(req);
+    if (home === undefined) {
+      const message = `the platform lists no group ${req.group}`;
+      return failedResult(notRun('unknownRoute', message));
+    }
+    return home.execute(req, sink, signal);
+  }
+
+  /** Rolls back a transaction whose caller is gone. */
+  release(group: string, pin: string): void {
+    this.#homes.get(group)?.home.release(pin);
+    for (const home of this.#outgoing) home.release(pin);
+  }
+
+  /** Asks the databases to stop what a session runs. */
+  cancel(group: string, sessionId: string): void {
+    this.#homes.get(group)?.home.cancel(sessionId);
+  }
+
+  /** Makes a database primary by the operator's order. */
+  async switchPrimary(
+    group: string,
+    databaseId: string,
+  ): Promise<SwitchResult> {
+    const home = this.#ensure(group);
+    if (home !== undefined) return home.switchTo(databaseId);
+    return {kind: 'notStarted', reason: `there is no group ${group}`};
+  }
+
+  /** A transaction stays where it began, even if its group was described anew. */
+  #homeFor({group, pin}: ExecRequest): GroupHome | undefined {
+    if (pin === undefined) return this.#ensure(group);
+    const outgoing = [...this.#outgoing].find(home => home.holds(pin));
+    return outgoing ?? this.#ensure(group);
+  }
+
+  #ensure(group: string): GroupHome | undefined {
+    const spec = this.#options.groups().find(({name}) => name === group);
+    if (spec === undefined) return undefined;
+    const fingerprint = JSON.stringify(spec);
+    const known = this.#homes.get(group);
+    if (known?.fingerprint === fingerprint) return known.home;
+    if (known !== undefined) this.#outgoing.add(known.home);
+    const home = this.#open(spec);
+    this.#homes.set(group, {home, fingerprint});
+    return home;
+  }
+
+  #open(spec: GroupSpec): GroupHome {
+    const {isFirstHome, row, onFailover, ...common} = this.#options;
+    const home = new GroupHome({
+      ...common,
+      spec,
+      row: () => row(spec.name),
+      connectionShare: database =>
+        connectionShare(database, isFirstHome(spec.name)),
+      onFailover: event => onFailover(spec.name, event),
+    });
+    home.start();
+    return home;
+  }
+
+  async #reviewRegularly(): Promise<void> {
+    const {signal} = this.#stopping;
+    while (!signal.aborted) {
+      this.#review();
+      await this.#options.clock.sleep(REVIEW_PERIOD_MS, signal);
+    }
+  }
+
+  #review(): void {
+    const {groups, isFirstHome} = this.#options;
+    const listed = new Set(groups().map(({name}) => name));
+    for (const name of listed) {
+      if (isFirstHome(name) || this.#homes.has(name)) this.#ensure(name);
+    }
+    for (const [name, {home}] of this.#homes) {
+      const isOurs = listed.has(name) && isFirstHome(name);
+      if (isOurs || home.idleMs < RETIRE_IDLE_MS) continue;
+      this.#homes.delete(name);
+      home.stop();
+    }
+    for (const home of this.#outgoing) {
+      if (home.active > 0) continue;
+      this.#outgoing.delete(home);
+      home.stop();
+    }
+  }
+
+  async #serveExec(
+    body: unknown,
+    ctx: Parameters<PeerHandler>[1],
+  ): Promise<ExecResult> {
+    if (!isExecRequest(body)) {
+      return failedResult(
+        notRun('badRequest', 'a peer sent a malformed batch'),
+      );
+    }
+    return this.execute(body, frames => ctx.send(frames), ctx.signal);
+  }
+
+  #serveRelease(body: unknown): void {
+    if (hasStrings(body, 'group', 'pin')) this.release(body.group, body.pin);
+  }
+
+  #serveCancel(body: unknown): void {
+    if (!hasStrings(body, 'group', 'sessionId')) return;
+    this.cancel(body.group, body.sessionId);
+  }
+
+  /** Whether this VM reaches a database now, for another node's evidence. */
+  async #serveReach(body: unknown): Promise<boolean> {
+    if (!hasStrings(body, 'group', 'databaseId')) return false;
+    const spec = this.#options
+      .groups()
+      .find(({name}) => name === body.group)
+      ?.databases.find(({id}) => id === body.databaseId);
+    if (spec === undefined) return false;
+    const control = this.#options.access.control(spec);
+    try {
+      await control.status(REACH_TIMEOUT_MS);
+      return true;
+    } catch {
+      return false;
+    } finally {
+      control.close();
+    }
+  }
+
+  async #serveSwitch(body: unknown): Promise<SwitchResult> {
+    if (hasStrings(body, 'group', 'databaseId')) {
+      return this.switchPrimary(body.group, body.databaseId);
+    }
+    return {kind: 'notStarted', reason: 'name a group and a database'};
+  }
+}
+
+function connectionShare(database: DatabaseSpec, isFirst: boolean): number {
+  const share = isFirst ? FIRST_HOME_SHARE : OTHER_HOME_SHARE;
+  return Math.max(MIN_CONNECTIONS, Math.floor(database.maxConnections * share));
+}
--- /dev/null
+++ b/src/home/read-path.ts
@@ -0,0 +1,215 @@
+/** Serves reads: at a replica that the session may read, or the primary. */
+import {
+  chooseTarget,
+  type ProviderWeights,
+  type ReadChoice,
+} from '../routing/replica-choice.js';
+import {START_POSITION, type Position} from '../session/position.js';
+import {TargetError} from '../targets/types.js';
+import {DONE, mayHaveRun, notRun, type Verdict} from '../verdict/verdict.js';
+import {ReadAnswer} from './answers.js';
+import type {GroupDatabases} from './group-databases.js';
+import {
+  failedResult,
+  type ExecRequest,
+  type ExecResult,
+  type PartSink,
+} from './types.js';
+
+/** How long a read waits for a replica rather than go to the primary. */
+const MAX_REPLICA_WAIT_MS = 20;
+const PRIMARY_RETRY_MS = 200;
+
+/** What a read path is built from. */
+export interface ReadPathOptions {
+  readonly databases: GroupDatabases;
+  readonly dataCentre: string;
+  readonly weights: () => ProviderWeights;
+}
+
+/** One read and where its answer goes. */
+export interface ReadAttempt {
+  readonly req: ExecRequest;
+  readonly sink: PartSink;
+  readonly deadlineAt: number;
+  /** Databases that failed this read before. */
+  readonly avoid: ReadonlySet<string>;
+}
+
+/** The outcome of one attempt, and the database to avoid next. */
+export interface ReadOutcome {
+  readonly result: ExecResult;
+  readonly databaseId: string | undefined;
+  /** Whether the read reached a database. */
+  readonly sent: boolean;
+  /** Whether the caller has received a part of the answer. */
+  readonly forwarded: boolean;
+}
+
+/** Chooses a database for a read and runs it there. */
+export class ReadPath {
+  readonly #options: ReadPathOptions;
+
+  constructor(options: ReadPathOptions) {
+    this.#options = options;
+  }
+
+  /** Tries a read once. Never rejects. */
+  async attempt(attempt: ReadAttempt): Promise<ReadOutcome> {
+    const {databases} = this.#options;
+    let choice = this.#choose(attempt, MAX_REPLICA_WAIT_MS);
+    if (choice.kind === 'wait') {
+      await databases.clock.sleep(choice.expectedMs);
+      const again = this.#choose(attempt, 0);
+      choice =
+        again.kind === 'primary'
+          ? {kind: 'replica', databaseId: choice.databaseId}
+          : again;
+    }
+    if (choice.kind === 'none' || choice.kind === 'wait') {
+      const message = `group ${databases.spec.name} has no database for this read`;
+      const reason = choice.kind === 'none' ? choice.reason : 'staleReplicas';
+      return failed(notRun(reason, message, PRIMARY_RETRY_MS));
+    }
+    return this.#runAt(attempt, choice.databaseId, choice.kind);
+  }
+
+  #choose(attempt: ReadAttempt, maxWaitMs: number): ReadChoice {
+    const {databases, dataCentre, weights} = this.#options;
+    const {req, avoid} = attempt;
+    const {primaryId} = databases.view();
+    return chooseTarget({
+      sessionId: req.sessionId,
+      position: req.token,
+      staleMs: req.staleMs,
+      weights: weights(),
+      dataCentre,
+      primaryId:
+        primaryId !== undefined && avoid.has(primaryId) ? undefined : primaryId,
+      candidates: databases
+        .candidates(req.token ?? START_POSITION)
+        .filter(({spec}) => !avoid.has(spec.id)),
+      maxWaitMs,
+    });
+  }
+
+  async #runAt(
+    attempt: ReadAttempt,
+    databaseId: string,
+    role: 'primary' | 'replica',
+  ): Promise<ReadOutcome> {
+    const {databases} = this.#options;
+    const {req, deadlineAt} = attempt;
+    const answer = new ReadAnswer(
+      req.token,
+      attempt.sink,
+      shown =>
+        role === 'primary' || databases.ageOf(databaseId, shown) <= req.staleMs,
+    );
+    const lane = databases.lane(databaseId);
+    const {team, priority} = req;
+    const acquired = await lane?.acquire({team, priority, deadlineAt});
+    if (acquired === undefined) return failed(gone(databaseId), databaseId);
+    if (acquired.kind === 'refused')
+      return failed(acquired.verdict, databaseId);
+    const {slot} = acquired;
+    const current =
+      role === 'primary'
+        ? this.#confirmTerm(databaseId, deadlineAt)
+        : undefined;
+    try {
+      const end = await databases.runs.run({
+        sessionId: req.sessionId,
+        databaseId,
+        connection: slot.connection,
+        frames: req.frames,
+        observer: answer,
+        deadlineAt,
+      });
+      if (answer.stale) {
+        return {...failed(staleVerdict(databaseId), databaseId), sent: true};
+      }
+      const verdict = (await current) ?? DONE;
+      if (verdict.kind === 'done') await answer.flush();
+      return {
+        databaseId,
+        sent: true,
+        forwarded: answer.forwarded,
+        result: {
+          verdict,
+          transaction: 'idle',
+          pin: undefined,
+          position: answer.position,
+          failed: end.failed,
+          servedBy: role,
+        },
+      };
+    } catch (err) {
+      const verdict = lostVerdict(err, databaseId);
+      const sent = verdict.kind === 'mayHaveRun';
+      const {forwarded} = answer;
+      return {...failed(verdict, databaseId), sent, forwarded};
+    } finally {
+      slot.release();
+    }
+  }
+
+  /**
+   * Proves that no newer primary existed when the read arrived. Runs beside
+   * the read itself: a confirmation after the arrival is enough.
+   */
+  async #confirmTerm(
+    primaryId: string,
+    deadlineAt: number,
+  ): Promise<Verdict | undefined> {
+    const {databases} = this.#options;
+    const {term} = databases.view();
+    const position: Position = {term, offset: 0};
+    const timeoutMs = Math.max(1, deadlineAt - databases.clock.now());
+    const ack = await databases.tracker.acknowledge({
+      primaryId,
+      position,
+      ack: 'primary',
+      timeoutMs,
+    });
+    if (ack.kind === 'acknowledged') return undefined;
+    return notRun(
+      'noPrimary',
+      `database ${primaryId} is no longer known to lead its group`,
+      PRIMARY_RETRY_MS,
+    );
+  }
+}
+
+function failed(verdict: Verdict, databaseId?: string): ReadOutcome {
+  return {
+    result: failedResult(verdict),
+    databaseId,
+    sent: false,
+    forwarded: false,
+  };
+}
+
+function gone(databaseId: string): Verdict {
+  return notRun(
+    'targetUnavailable',
+    `database ${databaseId} left the group`,
+    0,
+  );
+}
+
+function staleVerdict(databaseId: string): Verdict {
+  return notRun(
+    'staleReplicas',
+    `database ${databaseId} does not show what the session has written`,
+    0,
+  );
+}
+
+function lostVerdict(err: unknown, databaseId: string): Verdict {
+  const message = `database ${databaseId}: ${err instanceof Error ? err.message : String(err)}`;
+  const notSent = err instanceof TargetError && err.kind !== 'lost';
+  return notSent
+    ? notRun('targetUnavailable', message, 0)
+    : mayHaveRun('targetLost', message);
+}
--- a/src/home/types.ts
+++ b/src/home/types.ts
@@ -22,6 +22,8 @@
   readonly staleMs: number;
   /** Frontend frames, ending in Sync or being one Query. */
   readonly frames: Uint8Array;
+  /** Whether it commits: on its own, or as the end of a transaction. */
+  readonly commits: boolean;
   /** The transaction that this batch belongs to. */
   readonly pin: string | undefined;
 }
