--- /dev/null
+++ b/src/groups/failover-agent.ts
@@ -0,0 +1,155 @@
+/** Watches one group and orders a failover when it needs one. */
+import type {Clock, Random} from '../platform/clock.js';
+import {
+  assessNeed,
+  type EvidencePort,
+  type FailoverCause,
+  type Need,
+} from './evidence.js';
+import {orderFailover, type FailoverResult} from './failover.js';
+import type {GroupMonitor} from './monitor.js';
+import type {DatabaseRank} from './promotion.js';
+import type {DatabaseControl} from './types.js';
+
+const CHECK_PERIOD_MS = 100;
+/** Spreads the nodes that notice at once, so that mostly one orders. */
+const ORDER_JITTER_MS = 100;
+const FIRST_BACKOFF_MS = 100;
+const MAX_BACKOFF_MS = 1_600;
+
+/** How long each cause must last, since another node's order may be under way. */
+const SETTLE_MS: Readonly<Record<FailoverCause, number>> = {
+  primaryUnreachable: 0,
+  primaryIsolated: 0,
+  noPrimary: 300,
+  unfinishedFence: 2_000,
+};
+
+/** What an agent did or saw. */
+export type FailoverEvent =
+  | {readonly kind: 'linkFault'; readonly databaseId: string}
+  | {
+      readonly kind: 'ordered';
+      readonly cause: FailoverCause;
+      readonly result: FailoverResult;
+    };
+
+/** Settings of an agent. */
+export interface FailoverAgentOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly monitor: GroupMonitor;
+  readonly controls: readonly DatabaseControl[];
+  readonly evidence: EvidencePort;
+  /** Unique to this run of this VM. */
+  readonly instanceId: string;
+  readonly rank?: DatabaseRank;
+  readonly onEvent?: (event: FailoverEvent) => void;
+}
+
+/**
+ * Orders the failovers of one group. Any number of nodes may run one at once.
+ *
+ * @example
+ * const agent = new FailoverAgent({clock, random, monitor, controls, evidence,
+ *   instanceId: 'vm-3/8f2a'});
+ * agent.start();
+ */
+export class FailoverAgent {
+  readonly #options: FailoverAgentOptions;
+  readonly #stopping = new AbortController();
+  #attempts = 0;
+  #held = false;
+
+  constructor(options: FailoverAgentOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#stopping.abort();
+  }
+
+  /** Orders nothing until released, as during a planned switch. */
+  hold(): void {
+    this.#held = true;
+  }
+
+  release(): void {
+    this.#held = false;
+  }
+
+  /** The name of this node's next attempt; each attempt needs its own. */
+  nextOrderer(): string {
+    this.#attempts += 1;
+    return `${this.#options.instanceId}/${this.#attempts}`;
+  }
+
+  async #run(): Promise<void> {
+    const {signal} = this.#stopping;
+    let failures = 0;
+    while (!signal.aborted) {
+      const result = await this.#checkOnce();
+      if (result === undefined || result.kind === 'promoted') failures = 0;
+      else failures += 1;
+      const pauseMs =
+        failures === 0 ? CHECK_PERIOD_MS : this.#backOff(failures);
+      await this.#options.clock.sleep(pauseMs, signal);
+    }
+  }
+
+  /** Orders a failover if one is needed. */
+  async #checkOnce(): Promise<FailoverResult | undefined> {
+    const cause = await this.#lastingCause();
+    if (cause === undefined) return undefined;
+    const {clock, random, monitor, controls, rank} = this.#options;
+    const {signal} = this.#stopping;
+    await clock.sleep(random.next() * ORDER_JITTER_MS, signal);
+    await monitor.refreshNow();
+    const need = await this.#assess();
+    if (need.kind !== 'needed' || need.cause !== cause) return undefined;
+    if (signal.aborted || this.#held) return undefined;
+    const orderer = this.nextOrderer();
+    const {suspectId} = need;
+    const order = {clock, controls, orderer, suspectId, rank};
+    const result = await orderFailover(order);
+    this.#options.onEvent?.({kind: 'ordered', cause, result});
+    await monitor.refreshNow();
+    return result;
+  }
+
+  /** The cause of a failover that has lasted for long enough. */
+  async #lastingCause(): Promise<FailoverCause | undefined> {
+    const {clock} = this.#options;
+    const since = clock.now();
+    let cause: FailoverCause | undefined;
+    for (;;) {
+      const need = await this.#assess();
+      if (need.kind === 'linkFault') this.#options.onEvent?.(need);
+      if (need.kind !== 'needed') return undefined;
+      cause ??= need.cause;
+      if (need.cause !== cause || this.#stopping.signal.aborted) {
+        return undefined;
+      }
+      if (clock.now() - since >= SETTLE_MS[cause]) return cause;
+      await clock.sleep(CHECK_PERIOD_MS, this.#stopping.signal);
+    }
+  }
+
+  #assess(): Promise<Need> {
+    const {monitor, evidence} = this.#options;
+    return assessNeed(monitor.current(), evidence);
+  }
+
+  /** Jittered, so that two nodes that outbid each other part. */
+  #backOff(failures: number): number {
+    const ceilingMs = Math.min(
+      MAX_BACKOFF_MS,
+      FIRST_BACKOFF_MS * 2 ** (failures - 1),
+    );
+    return ceilingMs * (0.25 + this.#options.random.next() * 0.75);
+  }
+}
--- /dev/null
+++ b/src/groups/failover.ts
@@ -0,0 +1,129 @@
+/** Orders a failover: fence a majority, choose, promote, verify. */
+import type {Clock} from '../platform/clock.js';
+import {fenceMajority} from './fencing.js';
+import {majorityOf} from './group-view.js';
+import {settleMajority} from './majority.js';
+import {
+  chooseMostAdvanced,
+  promoteAndVerify,
+  type DatabaseRank,
+} from './promotion.js';
+import type {DatabaseControl, DatabaseStatus} from './types.js';
+
+const ORDER_TIMEOUT_MS = 300;
+
+/** The step at which a failover ended. */
+export type FailoverStep = 'look' | 'fence' | 'promote' | 'verify';
+
+/** The outcome of a failover. */
+export type FailoverResult =
+  | {
+      readonly kind: 'promoted';
+      readonly term: number;
+      readonly databaseId: string;
+    }
+  /** Another orderer was ahead; look again before ordering anew. */
+  | {
+      readonly kind: 'outbid';
+      readonly step: FailoverStep;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'failed';
+      readonly step: FailoverStep;
+      readonly reason: string;
+    };
+
+/** What a failover needs to know. */
+export interface FailoverOrder {
+  readonly clock: Clock;
+  readonly controls: readonly DatabaseControl[];
+  /**
+   * Names this attempt; never used again. Two attempts of one VM under one
+   * name could be granted one term twice and promote two databases.
+   */
+  readonly orderer: string;
+  /** The primary to pass over where the others are enough. */
+  readonly suspectId?: string | undefined;
+  readonly rank?: DatabaseRank | undefined;
+  readonly timeoutMs?: number | undefined;
+}
+
+/**
+ * Orders a failover. Only the databases are asked: they grant the terms, so
+ * that it works while the platform's store is down.
+ *
+ * @example
+ * const result = await orderFailover({clock, controls, orderer: 'vm-3/8f2a/1'});
+ * if (result.kind === 'promoted') log(result.databaseId);
+ */
+export async function orderFailover(
+  order: FailoverOrder,
+): Promise<FailoverResult> {
+  const {clock, controls, orderer, suspectId} = order;
+  const timeoutMs = order.timeoutMs ?? ORDER_TIMEOUT_MS;
+  const rank = order.rank ?? (() => 0);
+
+  const statuses = await askMajority(clock, controls, timeoutMs);
+  if (statuses.length < majorityOf(controls.length)) {
+    return failed('look', `only ${statuses.length} databases answer`);
+  }
+  const term = nextTerm(statuses);
+
+  const fencing = {clock, controls, term, orderer, timeoutMs};
+  const fenced = await fenceMajority(fencing);
+  if (fenced.kind === 'outbid') {
+    return outbid('fence', `term ${fenced.fencedTerm} is granted to another`);
+  }
+  if (fenced.kind === 'unreachable') {
+    return failed('fence', `only ${fenced.fenced} databases could be fenced`);
+  }
+
+  const {databases} = fenced;
+  const chosen = chooseMostAdvanced(
+    databases,
+    controls.length,
+    suspectId,
+    rank,
+  );
+  if (chosen === undefined) return failed('promote', 'no database is fit');
+  const {control} = chosen;
+  const databaseId = control.spec.id;
+  const promotion = {clock, control, term, orderer, timeoutMs};
+  switch (await promoteAndVerify(promotion)) {
+    case 'promoted':
+      return {kind: 'promoted', term, databaseId};
+    case 'refused':
+      return outbid('promote', `${databaseId} is fenced above term ${term}`);
+    case 'unknown':
+      return failed('verify', `${databaseId} did not say that it leads`);
+  }
+}
+
+/** The statuses of the databases that answer, a majority if it can be. */
+async function askMajority(
+  clock: Clock,
+  controls: readonly DatabaseControl[],
+  timeoutMs: number,
+): Promise<readonly DatabaseStatus[]> {
+  const statuses: DatabaseStatus[] = [];
+  await settleMajority(clock, controls, async control => {
+    statuses.push(await control.status(timeoutMs));
+    return true;
+  });
+  return statuses;
+}
+
+/** The term after all that these databases know of. */
+export function nextTerm(statuses: readonly DatabaseStatus[]): number {
+  const terms = statuses.flatMap(({term, fencedTerm}) => [term, fencedTerm]);
+  return Math.max(0, ...terms) + 1;
+}
+
+function failed(step: FailoverStep, reason: string): FailoverResult {
+  return {kind: 'failed', step, reason};
+}
+
+function outbid(step: FailoverStep, reason: string): FailoverResult {
+  return {kind: 'outbid', step, reason};
+}
--- a/src/routing/replica-ages.ts
+++ b/src/routing/replica-ages.ts
@@ -9,6 +9,12 @@
   readonly position: Position;
 }
 
+/** A database was fenced at `fencedTerm` at time `at` or later. */
+interface Fence {
+  readonly fencedTerm: number;
+  readonly at: number;
+}
+
 interface Replica {
   applied: Position;
   /** How long after the primary it reached `applied`, estimated. */
@@ -27,7 +33,7 @@
   readonly #majority: number;
   readonly #maxSamples: number;
   readonly #samples: Sample[] = [];
-  readonly #unfencedAt = new Map<string, number>();
+  readonly #fences = new Map<string, Fence>();
   readonly #replicas = new Map<string, Replica>();
   #term = 0;
 
@@ -52,14 +58,13 @@
   }
 
   /**
-   * Notes that a database, the primary included, was not fenced above `term`,
-   * as learned by a call sent at `at`.
+   * Notes the term at which a database, the primary included, was fenced, as
+   * learned by a call sent at `at`.
    */
-  recordUnfenced(databaseId: string, term: number, at: number): void {
-    if (term < this.#term) return;
-    this.#startTerm(term);
-    const known = this.#unfencedAt.get(databaseId) ?? -Infinity;
-    this.#unfencedAt.set(databaseId, Math.max(known, at));
+  recordFence(databaseId: string, fencedTerm: number, at: number): void {
+    const known = this.#fences.get(databaseId);
+    if (known !== undefined && known.at > at) return;
+    this.#fences.set(databaseId, {fencedTerm, at});
   }
 
   /** Notes that a replica had applied `position` when it answered at `at`. */
@@ -108,12 +113,14 @@
     if (term === this.#term) return;
     this.#term = term;
     this.#samples.length = 0;
-    this.#unfencedAt.clear();
   }
 
-  /** Up to when a majority was seen unfenced. */
+  /** Up to when a majority was seen unfenced above the term. */
   #verifiedAt(): number {
-    const times = [...this.#unfencedAt.values()].sort((a, b) => b - a);
+    const times = [...this.#fences.values()]
+      .filter(({fencedTerm}) => fencedTerm <= this.#term)
+      .map(({at}) => at)
+      .sort((a, b) => b - a);
     return times[this.#majority - 1] ?? -Infinity;
   }
 
--- /dev/null
+++ b/test/fakes/fake-group.ts
@@ -0,0 +1,265 @@
+/** A group of databases in memory, under virtual time, with faults. */
+import type {
+  ConfirmResult,
+  DatabaseControl,
+  DatabaseSpec,
+  DatabaseStatus,
+  FenceResult,
+  GroupSpec,
+} from '../../src/groups/types.js';
+import type {Position} from '../../src/session/position.js';
+import {TargetError} from '../../src/targets/types.js';
+import {FakeDatabase} from './fake-database.js';
+import {FakeLinks} from './fake-link.js';
+import type {NodeClock, VirtualClock} from './virtual-clock.js';
+
+const REPLICATION_PERIOD_MS = 20;
+const INITIAL_ORDERER = 'initial';
+
+/** What a read saw. */
+export interface FakeRead {
+  readonly position: Position;
+  readonly writes: ReadonlySet<string>;
+}
+
+/** Called before an order reaches its database; may change the network. */
+export type OrderObserver = (
+  nodeId: string,
+  order: 'fence' | 'promote',
+  databaseId: string,
+) => void;
+
+/**
+ * Three databases (or more) with asynchronous replication; the first leads
+ * term 1 at the start.
+ *
+ * @example
+ * const group = new FakeGroup(clock);
+ * const controls = group.controlsFor('vm-1', clock.forNode());
+ * group.links.cut(['db-1'], ['db-2', 'db-3']);
+ */
+export class FakeGroup {
+  readonly spec: GroupSpec;
+  readonly databases: readonly FakeDatabase[];
+  readonly links = new FakeLinks();
+  onOrder: OrderObserver = () => {};
+  readonly #clock: VirtualClock;
+
+  constructor(clock: VirtualClock, size = 3) {
+    this.#clock = clock;
+    const specs = Array.from({length: size}, (_, i) => specOf(i + 1));
+    this.spec = {name: 'claims', databases: specs};
+    this.databases = specs.map(spec => new FakeDatabase(spec, clock));
+    const first = this.database('db-1');
+    first.fence(1, INITIAL_ORDERER);
+    first.promote(1, INITIAL_ORDERER);
+    this.#replicate();
+  }
+
+  database(id: string): FakeDatabase {
+    const database = this.databases.find(({spec}) => spec.id === id);
+    if (database === undefined) throw new Error(`no database ${id}`);
+    return database;
+  }
+
+  /** The primary of the highest term. */
+  get leader(): FakeDatabase | undefined {
+    return this.databases
+      .filter(({role}) => role === 'primary')
+      .toSorted((a, b) => b.term - a.term)[0];
+  }
+
+  /** The control side of all databases, as one node reaches them. */
+  controlsFor(nodeId: string, clock: NodeClock): readonly DatabaseControl[] {
+    return this.databases.map(
+      database => new FakeControl(this, database, nodeId, clock),
+    );
+  }
+
+  /** Commits a write at a database, over a node's link. */
+  commit(
+    nodeId: string,
+    clock: NodeClock,
+    databaseId: string,
+    write: string,
+    timeoutMs = 1_000,
+  ): Promise<Position> {
+    const database = this.database(databaseId);
+    return this.call(nodeId, clock, database, timeoutMs, settle =>
+      settle(database.commit(write)),
+    );
+  }
+
+  /** Reads all writes at a database, over a node's link. */
+  read(
+    nodeId: string,
+    clock: NodeClock,
+    databaseId: string,
+    timeoutMs = 1_000,
+  ): Promise<FakeRead> {
+    const database = this.database(databaseId);
+    return this.call(nodeId, clock, database, timeoutMs, settle =>
+      settle({position: database.applied, writes: database.visibleWrites()}),
+    );
+  }
+
+  /** Calls a database over a node's link, with whatever fails there. */
+  call<T>(
+    nodeId: string,
+    clock: NodeClock,
+    database: FakeDatabase,
+    timeoutMs: number,
+    run: (settle: (value: T) => void) => void,
+  ): Promise<T> {
+    const link = this.links.between(nodeId, database.spec.id);
+    return new Promise<T>((resolve, reject) => {
+      const fail = (err: unknown) => clock.whenRunning(() => reject(err));
+      const answer = (value: T) => {
+        if (link.answersToLose > 0) link.answersToLose -= 1;
+        else if (!link.cut && database.up) {
+          this.#after(link.delayMs, () => {
+            clock.whenRunning(() => resolve(value));
+          });
+        }
+      };
+      const arrive = () => {
+        if (link.cut) return;
+        if (!database.up) {
+          fail(new TargetError('notSent', `${database.spec.id} is down`));
+          return;
+        }
+        database.whenRunning(() => {
+          try {
+            run(answer);
+          } catch (err) {
+            this.#after(link.delayMs, () => fail(err));
+          }
+        });
+      };
+      this.#after(link.delayMs, arrive);
+      this.#clock.schedule(timeoutMs, () =>
+        fail(new TargetError('lost', `${database.spec.id} does not answer`)),
+      );
+    });
+  }
+
+  #after(delayMs: number, run: () => void): void {
+    if (delayMs > 0) this.#clock.schedule(delayMs, run);
+    else run();
+  }
+
+  #replicate(): void {
+    for (const source of this.databases) {
+      if (source.role !== 'primary' || !source.up || source.frozen) continue;
+      for (const target of this.databases) this.#push(source, target);
+    }
+    this.#clock.schedule(REPLICATION_PERIOD_MS, () => this.#replicate());
+  }
+
+  #push(source: FakeDatabase, target: FakeDatabase): void {
+    const link = this.links.between(source.spec.id, target.spec.id);
+    if (source === target || link.cut) return;
+    const {term} = source;
+    const log = [...source.log];
+    this.#after(link.delayMs, () => {
+      if (link.cut || !target.up || target.frozen) return;
+      target.accept(term, log);
+    });
+  }
+}
+
+class FakeControl implements DatabaseControl {
+  readonly spec: DatabaseSpec;
+  readonly #group: FakeGroup;
+  readonly #database: FakeDatabase;
+  readonly #nodeId: string;
+  readonly #clock: NodeClock;
+
+  constructor(
+    group: FakeGroup,
+    database: FakeDatabase,
+    nodeId: string,
+    clock: NodeClock,
+  ) {
+    this.spec = database.spec;
+    this.#group = group;
+    this.#database = database;
+    this.#nodeId = nodeId;
+    this.#clock = clock;
+  }
+
+  status(timeoutMs: number): Promise<DatabaseStatus> {
+    return this.#call(timeoutMs, settle => settle(this.#database.status()));
+  }
+
+  fence(
+    term: number,
+    orderer: string,
+    timeoutMs: number,
+  ): Promise<FenceResult> {
+    const fence = () => this.#database.fence(term, orderer);
+    return this.#order('fence', timeoutMs, fence);
+  }
+
+  promote(term: number, orderer: string, timeoutMs: number): Promise<boolean> {
+    const promote = () => this.#database.promote(term, orderer);
+    return this.#order('promote', timeoutMs, promote);
+  }
+
+  confirm(
+    term: number,
+    position: Position,
+    timeoutMs: number,
+  ): Promise<ConfirmResult> {
+    const waitMs = timeoutMs * 0.8;
+    return this.#call(timeoutMs, settle =>
+      this.#database.confirm(term, position, waitMs, settle),
+    );
+  }
+
+  async #order<T>(
+    name: 'fence' | 'promote',
+    timeoutMs: number,
+    run: () => T,
+  ): Promise<T> {
+    this.#group.onOrder(this.#nodeId, name, this.spec.id);
+    // A process that stands still sends its order when it runs again.
+    await new Promise<void>(resolve => this.#clock.whenRunning(resolve));
+    const link = this.#group.links.between(this.#nodeId, this.spec.id);
+    if (link.duplicateAfterMs > 0) {
+      const again = () => this.#call(timeoutMs, settle => settle(run()));
+      void this.#clock
+        .sleep(link.duplicateAfterMs)
+        .then(again)
+        .catch(() => {});
+    }
+    return this.#call(timeoutMs, settle => settle(run()));
+  }
+
+  #call<T>(
+    timeoutMs: number,
+    run: (settle: (value: T) => void) => void,
+  ): Promise<T> {
+    const {spec} = this.#database;
+    const database = this.#group.database(spec.id);
+    return this.#group.call(
+      this.#nodeId,
+      this.#clock,
+      database,
+      timeoutMs,
+      run,
+    );
+  }
+}
+
+function specOf(number: number): DatabaseSpec {
+  return {
+    id: `db-${number}`,
+    host: '127.0.0.1',
+    port: 5_430 + number,
+    dataCentre: `dc-${number}`,
+    provider: number === 3 ? 'new' : 'old',
+    slots: 2,
+    maxConnections: 16,
+  };
+}
