--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,17 @@
+/** The operators' commands on the configuration. */
+import type {CommandModule} from 'yargs';
+import {keyCommand} from './key.js';
+import {tableCommand} from './table.js';
+import {vmCommand} from './vm.js';
+
+/**
+ * The commands, for the program's command line.
+ *
+ * @example
+ * for (const command of configurationCommands) cli.command(command);
+ */
+export const configurationCommands: readonly CommandModule[] = [
+  tableCommand,
+  keyCommand,
+  vmCommand,
+];
--- /dev/null
+++ b/src/cli/durations.ts
@@ -0,0 +1,22 @@
+/** Durations as operators write them. */
+
+const UNITS_MS: Readonly<Record<string, number>> = {
+  ms: 1,
+  s: 1_000,
+  m: 60_000,
+};
+
+/**
+ * Reads a duration in milliseconds, or throws.
+ *
+ * @example
+ * parseDuration('10s') === 10_000;
+ */
+export function parseDuration(text: string): number {
+  const match = /^(\d{1,9})(ms|s|m)$/.exec(text);
+  const unitMs = UNITS_MS[match?.[2] ?? ''];
+  if (match === null || unitMs === undefined) {
+    throw new Error(`${text} is no duration; write 500ms, 10s or 2m`);
+  }
+  return Number(match[1]) * unitMs;
+}
--- /dev/null
+++ b/src/cli/key.ts
@@ -0,0 +1,19 @@
+/** `zinnia key`: the commands on callers' keys. */
+import type {CommandModule} from 'yargs';
+import {keyGrantCommand} from './key-grant.js';
+import {keyListCommand} from './key-list.js';
+import {keyWithdrawCommand} from './key-withdraw.js';
+
+/** The command. */
+export const keyCommand: CommandModule = {
+  command: 'key <command>',
+  describe: "Grant, withdraw and list callers' keys",
+  builder: yargs =>
+    yargs
+      .command(keyGrantCommand)
+      .command(keyWithdrawCommand)
+      .command(keyListCommand)
+      .demandCommand(1)
+      .strict(),
+  handler: () => {},
+};
--- /dev/null
+++ b/src/cli/table-history.ts
@@ -0,0 +1,36 @@
+/** `zinnia table history`: the latest edits. */
+import type {CommandModule} from 'yargs';
+import type {Store} from '../platform/store.js';
+import type {EditRecord} from '../rollout/config-document.js';
+import {readConfig} from '../rollout/editor.js';
+import {runCommand} from './context.js';
+import {EXIT} from './exit-codes.js';
+import {withStoreOption, type StoreArgs} from './store-option.js';
+
+/** Reads the latest edits, oldest first. */
+export async function readHistory(
+  store: Store,
+): Promise<readonly EditRecord[]> {
+  return (await readConfig(store)).document.edits;
+}
+
+/** Writes one edit as a line of key=value pairs. */
+export function formatEdit(edit: EditRecord): string {
+  const at = new Date(edit.at).toISOString();
+  const summary = JSON.stringify(edit.summary);
+  return `version=${edit.version} at=${at} by=${edit.by} id=${edit.id} summary=${summary}`;
+}
+
+/** The command. */
+export const tableHistoryCommand: CommandModule<object, StoreArgs> = {
+  command: 'history',
+  describe: 'Print the latest edits, oldest first',
+  builder: yargs => withStoreOption(yargs),
+  handler: args =>
+    runCommand(args, async ({store, output}) => {
+      for (const edit of await readHistory(store)) {
+        output.print(formatEdit(edit));
+      }
+      return EXIT.ok;
+    }),
+};
--- a/src/rollout/changes.ts
+++ b/src/rollout/changes.ts
@@ -82,6 +82,12 @@
   return [...puts, ...removals];
 }
 
+/** Whether a table already says what an edit asks for. */
+export function isInTable(table: Table, edit: RowEdit): boolean {
+  const wanted = edit.kind === 'put' ? edit.row : undefined;
+  return rowsEqual(findRow(table, resolveEditRef(edit)), wanted);
+}
+
 /** Names a change in a few words, for the history. */
 export function summarizeChange(change: Change): string {
   switch (change.kind) {
@@ -113,10 +119,7 @@
   edits: readonly RowEdit[],
   baseVersion: number,
 ): ChangeResult {
-  const pending = edits.filter(edit => {
-    const wanted = edit.kind === 'put' ? edit.row : undefined;
-    return !rowsEqual(findRow(document.table, resolveEditRef(edit)), wanted);
-  });
+  const pending = edits.filter(edit => !isInTable(document.table, edit));
   if (pending.length === 0) return {kind: 'unchanged'};
   for (const edit of pending) {
     const row = resolveEditRef(edit);
--- a/src/rollout/editor.ts
+++ b/src/rollout/editor.ts
@@ -195,7 +195,8 @@
   return undefined;
 }
 
-function createConflict(
+/** The result of an edit whose row another operator changed. */
+export function createConflict(
   document: ConfigDocument,
   row: RowRef,
   version: number,
--- /dev/null
+++ b/test/cli/in-force.test.ts
@@ -0,0 +1,72 @@
+import {afterEach, beforeEach, expect, test, vi} from 'vitest';
+import {
+  createStoreServer,
+  type StoreServer,
+} from '../../standins/store/server.js';
+import {FakeAdmin, runCli} from './cli-fixture.js';
+
+const VM_COUNT = 7;
+
+let server: StoreServer;
+let admins: readonly FakeAdmin[];
+
+beforeEach(async () => {
+  admins = Array.from(
+    {length: VM_COUNT},
+    (_, i) => new FakeAdmin(`vm${i + 1}`),
+  );
+  await Promise.all(admins.map(admin => admin.listen()));
+  server = await createStoreServer({vms: admins.map(admin => admin.vm)});
+});
+
+afterEach(async () => {
+  await Promise.all(admins.map(admin => admin.close()));
+  await server.close();
+});
+
+const run = (...args: readonly string[]) => runCli(server.url, ...args);
+
+const setLab = ['table', 'set', 'team', 'lab', 'rate=5', 'burst=5', '--wait'];
+
+test('waits until the version is in force on every vm', async () => {
+  const waiting = run(...setLab);
+  await vi.waitFor(() => expect(server.calls.txn).toBe(1));
+  for (const admin of admins) admin.config = 1;
+  const {code, out} = await waiting;
+  expect(code).toBe(0);
+  expect(out).toBe('accepted as version 1\nin force on 7 of 7');
+});
+
+test('names the vms that lag and exits with 3', async () => {
+  for (const admin of admins.slice(2)) admin.config = 1;
+  await admins[1]?.close();
+  const {code, out, err} = await run(...setLab, '--timeout', '300ms');
+  expect(code).toBe(3);
+  expect(out.split('\n')).toEqual([
+    'accepted as version 1',
+    'in force on 5 of 7',
+    'lagging: vm1 has version 0',
+    expect.stringMatching(/^lagging: vm2 gave no answer at 127\.0\.0\.1:\d+$/),
+  ]);
+  expect(err).toContain('it stays accepted');
+});
+
+test('takes no answer from another vm at a listed address', async () => {
+  for (const admin of admins) admin.config = 1;
+  const vms = admins.map(admin => admin.vm);
+  server.setVms(vms.map(vm => (vm.id === 'vm7' ? {...vm, id: 'gone'} : vm)));
+  const {code, out} = await run(...setLab, '--timeout', '100ms');
+  expect(code).toBe(3);
+  expect(out).toContain('in force on 6 of 7');
+});
+
+test('lists the vms with their versions', async () => {
+  await admins[1]?.close();
+  server.setVms(admins.slice(0, 2).map(admin => admin.vm));
+  const {out} = await run('vm', 'list');
+  const [first, second] = out.split('\n');
+  expect(first).toMatch(
+    /^vm=vm1 dataCentre=hobart state=live admin=127\.0\.0\.1:\d+ config=0$/,
+  );
+  expect(second).toContain('config=unanswered');
+});
