--- a/src/home/group-databases.ts
+++ b/src/home/group-databases.ts
@@ -184,9 +184,7 @@
   }
 
   #learn({databaseId, status, askedAt, answeredAt}: StatusReport): void {
-    if (status.fencedTerm <= status.term) {
-      this.#ages.recordUnfenced(databaseId, status.term, askedAt);
-    }
+    this.#ages.recordFence(databaseId, status.fencedTerm, askedAt);
     if (status.role === 'primary') {
       this.#ages.recordPrimary(status.term, status.received, askedAt);
     } else {
--- /dev/null
+++ b/src/node/admin-routes.ts
@@ -0,0 +1,132 @@
+/** What a node tells operators, and what they can order from it. */
+import type {BudgetService} from '../admission/budget-service.js';
+import type {HomeService} from '../home/home-service.js';
+import {HOME_METHODS} from '../home/messages.js';
+import {addressOf} from '../home/home-router.js';
+import type {Coordination} from '../membership/coordination.js';
+import type {PeerCaller} from '../peers/types.js';
+import type {StatementMetrics} from '../telemetry/metrics.js';
+import type {AdminAnswer, AdminRequest, AdminRoute} from './admin-server.js';
+import type {LiveConfig} from './live-config.js';
+
+const SWITCH_TIMEOUT_MS = 10_000;
+
+/** What the routes speak about. */
+export interface AdminDeps {
+  readonly vm: string;
+  readonly coordination: Coordination;
+  readonly config: LiveConfig;
+  readonly budgets: BudgetService;
+  readonly homes: HomeService;
+  readonly peers: PeerCaller;
+  readonly metrics: StatementMetrics;
+  readonly sessions: () => number;
+  readonly isDraining: () => boolean;
+}
+
+/** Builds the routes of a node. */
+export function createAdminRoutes(
+  deps: AdminDeps,
+): ReadonlyMap<string, AdminRoute> {
+  return new Map<string, AdminRoute>([
+    ['GET /health', () => ok({vm: deps.vm, alive: true})],
+    ['GET /ready', () => ready(deps)],
+    ['GET /versions', () => ok(versions(deps))],
+    ['GET /members', () => ok(deps.coordination.members.all())],
+    ['GET /budgets', () => ok(deps.budgets.status())],
+    ['GET /groups', () => ok(groups(deps))],
+    ['GET /metrics', () => ok(usage(deps))],
+    ['GET /statements', req => statements(deps, req)],
+    ['POST /switch', req => switchPrimary(deps, req)],
+  ]);
+}
+
+function ok(body: unknown): AdminAnswer {
+  return {status: 200, body};
+}
+
+function ready(deps: AdminDeps): AdminAnswer {
+  const standing = deps.coordination.standing.evaluate();
+  const version = deps.config.document.version;
+  const reasons = [
+    ...(deps.isDraining() ? ['the node is shutting down'] : []),
+    ...(standing === 'cutOff' ? ['the node is cut off'] : []),
+    ...(version === 0 ? ['the node has no configuration yet'] : []),
+  ];
+  const status = reasons.length === 0 ? 200 : 503;
+  return {status, body: {ready: reasons.length === 0, reasons}};
+}
+
+function versions({vm, coordination, config}: AdminDeps) {
+  return {
+    vm,
+    config: config.document.version,
+    revisions: coordination.documents.digest(),
+    standing: coordination.standing.evaluate(),
+    storeAgeMs: finite(coordination.contact.ageMs()),
+    isWatcher: coordination.isWatcher,
+  };
+}
+
+function finite(ms: number): number | null {
+  return Number.isFinite(ms) ? Math.round(ms) : null;
+}
+
+/** The groups as the homes on this VM see them, and every group's home. */
+function groups({homes, config, coordination}: AdminDeps) {
+  return {
+    homes: Object.fromEntries(
+      config.groups.map(({name, databases}) => {
+        const dataCentre = databases[0]?.dataCentre;
+        const [home] = coordination.members.homeOrder(name, {dataCentre});
+        return [name, home?.id ?? null];
+      }),
+    ),
+    views: homes.views(),
+  };
+}
+
+function usage(deps: AdminDeps) {
+  const {rss, heapUsed} = process.memoryUsage();
+  const {user, system} = process.cpuUsage();
+  return {
+    vm: deps.vm,
+    sessions: deps.sessions(),
+    activeAtHome: deps.homes.active,
+    rssBytes: rss,
+    heapBytes: heapUsed,
+    cpuMicros: user + system,
+  };
+}
+
+function statements(deps: AdminDeps, req: AdminRequest): AdminAnswer {
+  const since = Number(req.query.get('since') ?? '0');
+  if (!Number.isFinite(since)) {
+    const error = 'since takes milliseconds since the epoch';
+    return {status: 400, body: {error}};
+  }
+  return ok({vm: deps.vm, slices: deps.metrics.slices(since)});
+}
+
+async function switchPrimary(
+  deps: AdminDeps,
+  req: AdminRequest,
+): Promise<AdminAnswer> {
+  const {group, databaseId} = (req.body ?? {}) as Record<string, unknown>;
+  if (typeof group !== 'string' || typeof databaseId !== 'string') {
+    return {status: 400, body: {error: 'name a group and a databaseId'}};
+  }
+  const spec = deps.config.findGroup(group);
+  if (spec === undefined) {
+    return {status: 404, body: {error: `there is no group ${group}`}};
+  }
+  const dataCentre = spec.databases[0]?.dataCentre;
+  const [home] = deps.coordination.members.homeOrder(group, {dataCentre});
+  if (home === undefined || home.id === deps.vm) {
+    return ok(await deps.homes.switchPrimary(group, databaseId));
+  }
+  const body = {group, databaseId};
+  const options = {timeoutMs: SWITCH_TIMEOUT_MS};
+  const method = HOME_METHODS.switchPrimary;
+  return ok(await deps.peers.call(addressOf(home), method, body, options));
+}
--- /dev/null
+++ b/src/node/node.ts
@@ -0,0 +1,364 @@
+/** One node: entry and home, put together from the library's parts. */
+import {randomUUID} from 'node:crypto';
+import {readFileSync} from 'node:fs';
+import {createSecureContext, type SecureContext} from 'node:tls';
+import {BudgetService} from '../admission/budget-service.js';
+import type {BudgetMessage} from '../admission/types.js';
+import {CallerServer} from '../callers/caller-server.js';
+import {vmHash, vmHashOf} from '../callers/cancel-keys.js';
+import type {CancelKey} from '../callers/startup.js';
+import type {FailoverEvent} from '../groups/failover-agent.js';
+import type {DatabaseSpec} from '../groups/types.js';
+import {addressOf, HomeRouter} from '../home/home-router.js';
+import {HomeService} from '../home/home-service.js';
+import {
+  createCoordination,
+  type Coordination,
+} from '../membership/coordination.js';
+import type {Member} from '../membership/member.js';
+import {PeerPool} from '../peers/peer-pool.js';
+import {PeerServer} from '../peers/peer-server.js';
+import type {PeerHandler} from '../peers/types.js';
+import {SystemClock, SystemRandom} from '../platform/clock.js';
+import {EtcdStore} from '../platform/etcd-store.js';
+import type {Store} from '../platform/store.js';
+import type {VmRecord} from '../platform/vm-list.js';
+import {ConfigEditor} from '../rollout/editor.js';
+import {teamRow} from '../rollout/table.js';
+import {createClassifier} from '../routing/classify.js';
+import {TokenSigner} from '../session/token-signer.js';
+import {PgDatabaseControl} from '../targets/database-control.js';
+import {PgTargetConnection} from '../targets/pg-connection.js';
+import type {Logger} from '../telemetry/log.js';
+import {StatementMetrics} from '../telemetry/metrics.js';
+import {ConfiguredAccess} from './access.js';
+import {createAdminRoutes} from './admin-routes.js';
+import {AdminServer} from './admin-server.js';
+import {retireInstance} from './instance-retirement.js';
+import {LiveConfig} from './live-config.js';
+import {BUDGET_METHOD, MemberBudgetPeers, PeerEvidence} from './peer-ports.js';
+import type {NodeSettings} from './settings.js';
+
+const TARGET_CONNECT_TIMEOUT_MS = 1_000;
+const CANCEL_METHOD = 'callers.cancel';
+const CANCEL_TIMEOUT_MS = 1_000;
+const DEFAULT_WEIGHT = 1;
+/** How long a starting node waits for its first configuration. */
+const CONFIG_WAIT_MS = 5_000;
+const CONFIG_POLL_MS = 20;
+
+/** The ports of a running node. */
+export interface NodePorts {
+  readonly callers: number;
+  readonly admin: number;
+}
+
+/** A node of the fleet. */
+export class Node {
+  readonly #settings: NodeSettings;
+  readonly #log: Logger;
+  readonly #clock = new SystemClock();
+  readonly #random = new SystemRandom();
+  readonly #instance = randomUUID().slice(0, 8);
+  readonly #store: Store;
+  readonly #peers: PeerPool;
+  readonly #handlers = new Map<string, PeerHandler>();
+  readonly #peerServer: PeerServer;
+  readonly #coordination: Coordination;
+  readonly #config: LiveConfig;
+  readonly #access: ConfiguredAccess;
+  readonly #budgets: BudgetService;
+  readonly #homes: HomeService;
+  readonly #metrics: StatementMetrics;
+  readonly #callers: CallerServer;
+  readonly #admin: AdminServer;
+  #draining = false;
+
+  constructor(settings: NodeSettings, log: Logger) {
+    this.#settings = settings;
+    this.#log = log;
+    this.#store = new EtcdStore({url: settings.store});
+    this.#peers = this.#createPeers();
+    this.#coordination = this.#createCoordination();
+    this.#config = new LiveConfig(this.#coordination.documents, log);
+    this.#access = new ConfiguredAccess(
+      this.#config,
+      this.#coordination.standing,
+    );
+    this.#budgets = this.#createBudgets();
+    this.#homes = this.#createHomes();
+    this.#metrics = new StatementMetrics(this.#clock);
+    this.#callers = this.#createCallers();
+    this.#admin = this.#createAdmin();
+    this.#peerServer = this.#createPeerServer();
+    this.#config.onChange(() =>
+      this.#callers.closeRevoked(authority => {
+        const refusal = this.#access.recheck(authority);
+        return refusal?.reason === 'notAuthorised' ? refusal : undefined;
+      }),
+    );
+  }
+
+  /** Opens the ports; resolves once callers are served. */
+  async start(): Promise<NodePorts> {
+    const {host, adminPort, vm, dataCentre} = this.#settings;
+    await this.#peerServer.listen();
+    this.#coordination.start();
+    this.#budgets.start();
+    this.#homes.start();
+    await this.#waitForConfig();
+    await this.#callers.listen();
+    await this.#admin.listen(host, adminPort);
+    const ports = {callers: this.#callers.port, admin: this.#admin.port};
+    this.#log.info('nodeStarted', {
+      vm,
+      dataCentre,
+      instance: this.#instance,
+      ...ports,
+      peers: this.#peerServer.address.port,
+    });
+    return ports;
+  }
+
+  /**
+   * Leaves the fleet without cutting a request: announces it, lets sessions
+   * and homes finish, hands budget shares back, then closes.
+   */
+  async shutDown(): Promise<void> {
+    if (this.#draining) return;
+    this.#draining = true;
+    const {drainMs} = this.#settings;
+    this.#log.info('shutdownStarted', {sessions: this.#callers.sessions});
+    await this.#coordination.leave();
+    const cut = await this.#callers.drain(drainMs);
+    await this.#homes.drain(drainMs);
+    await this.#budgets.stop();
+    await this.#peerServer.close();
+    await this.stop();
+    this.#log.info('shutdownFinished', {cut});
+  }
+
+  /** Stops at once. */
+  async stop(): Promise<void> {
+    this.#homes.stop();
+    this.#admin.close();
+    this.#peers.close();
+    await this.#coordination.stop();
+  }
+
+  /** Callers would be refused by a node that knows no route yet. */
+  async #waitForConfig(): Promise<void> {
+    const until = this.#clock.now() + CONFIG_WAIT_MS;
+    const isMissing = () =>
+      this.#config.document.version === 0 || this.#config.groups.length === 0;
+    while (isMissing() && this.#clock.now() < until) {
+      await this.#clock.sleep(CONFIG_POLL_MS);
+    }
+    if (isMissing())
+      this.#log.warn('configMissing', {waitedMs: CONFIG_WAIT_MS});
+  }
+
+  #createPeers(): PeerPool {
+    const {vm, peerSecret} = this.#settings;
+    return new PeerPool({self: vm, clock: this.#clock, peerSecret});
+  }
+
+  #createCoordination(): Coordination {
+    const {vm, host, peerPort, adminPort, dataCentre} = this.#settings;
+    const self: VmRecord = {
+      id: vm,
+      host,
+      peerPort,
+      adminPort,
+      dataCentre,
+      state: 'live',
+    };
+    return createCoordination({
+      self,
+      store: this.#store,
+      caller: this.#peers,
+      clock: this.#clock,
+      random: this.#random,
+      instance: this.#instance,
+      standingLimitMs: this.#settings.standingLimitMs,
+      onStoreFailure: err =>
+        this.#log.warn('storeUnreachable', {message: String(err)}),
+      onInvalidList: detail => this.#log.error('vmListRejected', {detail}),
+    });
+  }
+
+  #createBudgets(): BudgetService {
+    const {members, standing} = this.#coordination;
+    const editor = new ConfigEditor({
+      store: this.#store,
+      clock: this.#clock,
+      random: this.#random,
+    });
+    return new BudgetService({
+      self: {vm: this.#settings.vm, instance: this.#instance},
+      clock: this.#clock,
+      random: this.#random,
+      store: this.#store,
+      peers: new MemberBudgetPeers(members, this.#peers),
+      standing: {standing: () => standing.evaluate()},
+      config: {
+        limits: team => teamRow(this.#config.document.table, team),
+        retired: () => this.#config.retired,
+        retire: instance => retireInstance(editor, this.#settings.vm, instance),
+      },
+      options: {standingLimitMs: this.#settings.standingLimitMs},
+    });
+  }
+
+  #createHomes(): HomeService {
+    const {members} = this.#coordination;
+    const {dataCentre, targetUser, targetPassword, vm} = this.#settings;
+    return new HomeService({
+      clock: this.#clock,
+      random: this.#random,
+      dataCentre,
+      instanceId: `${vm}/${this.#instance}`,
+      access: {
+        control: spec =>
+          new PgDatabaseControl(spec, {
+            user: targetUser,
+            password: targetPassword,
+          }),
+        connect: spec => this.#connectTarget(spec),
+      },
+      evidence: new PeerEvidence(members, this.#peers, dataCentre),
+      groups: () => this.#config.groups,
+      row: group => this.#config.document.table.groups.get(group),
+      weightOf: team =>
+        teamRow(this.#config.document.table, team)?.rate ?? DEFAULT_WEIGHT,
+      isFirstHome: group => this.#homeOrder(group)[0]?.id === vm,
+      onFailover: (group, event) => this.#logFailover(group, event),
+    });
+  }
+
+  #connectTarget(spec: DatabaseSpec): Promise<PgTargetConnection> {
+    const {targetUser, targetPassword} = this.#settings;
+    return PgTargetConnection.connect({
+      host: spec.host,
+      port: spec.port,
+      user: targetUser,
+      password: targetPassword,
+      database: 'app',
+      timeoutMs: TARGET_CONNECT_TIMEOUT_MS,
+    });
+  }
+
+  #createCallers(): CallerServer {
+    const {vm, host, port, maxCallers, deadlineMs} = this.#settings;
+    const {tokenSecret, previousTokenSecret} = this.#settings;
+    const {members} = this.#coordination;
+    const previous = previousTokenSecret === '' ? [] : [previousTokenSecret];
+    return new CallerServer({
+      vm,
+      host,
+      port,
+      maxCallers,
+      tls: readTls(this.#settings),
+      forwardCancel: key => this.#forwardCancel(key),
+      deps: {
+        access: this.#access,
+        admission: this.#budgets,
+        executor: new HomeRouter({
+          self: vm,
+          clock: this.#clock,
+          peers: this.#peers,
+          local: this.#homes,
+          homeOrder: group => this.#homeOrder(group),
+          findVm: id => members.find(id),
+        }),
+        classifier: createClassifier(),
+        signer: new TokenSigner(tokenSecret, previous),
+        clock: this.#clock,
+        log: this.#log,
+        deadlineMs,
+        observe: sample => this.#metrics.observe(sample),
+      },
+    });
+  }
+
+  #createAdmin(): AdminServer {
+    const routes = createAdminRoutes({
+      vm: this.#settings.vm,
+      coordination: this.#coordination,
+      config: this.#config,
+      budgets: this.#budgets,
+      homes: this.#homes,
+      peers: this.#peers,
+      metrics: this.#metrics,
+      sessions: () => this.#callers.sessions,
+      isDraining: () => this.#draining,
+    });
+    return new AdminServer(routes, this.#log);
+  }
+
+  #createPeerServer(): PeerServer {
+    const {vm, host, peerPort, peerSecret} = this.#settings;
+    const all: [string, PeerHandler][] = [
+      ...this.#coordination.handlers,
+      ...this.#homes.handlers,
+      [
+        BUDGET_METHOD,
+        (body, ctx) => this.#budgets.handle(body as BudgetMessage, ctx.from),
+      ],
+      [CANCEL_METHOD, async body => this.#callers.cancel(body as CancelKey)],
+    ];
+    for (const [method, handler] of all) this.#handlers.set(method, handler);
+    return new PeerServer({
+      host,
+      port: peerPort,
+      self: vm,
+      handlers: this.#handlers,
+      peerSecret,
+      clock: this.#clock,
+      log: ({event, peer, detail}) =>
+        this.#log.debug('peerEvent', {kind: event, peer, detail}),
+    });
+  }
+
+  /** VMs in order of preference as a group's home; the same on every node. */
+  #homeOrder(group: string): readonly Member[] {
+    const spec = this.#config.findGroup(group);
+    const dataCentre = spec?.databases[0]?.dataCentre;
+    return this.#coordination.members.homeOrder(group, {dataCentre});
+  }
+
+  /** Hands a cancel request to the VMs that may have made its key. */
+  #forwardCancel(key: CancelKey): void {
+    const hash = vmHashOf(key);
+    for (const member of this.#coordination.members.live()) {
+      if (member.id === this.#settings.vm || vmHash(member.id) !== hash)
+        continue;
+      const options = {timeoutMs: CANCEL_TIMEOUT_MS};
+      this.#peers
+        .call(addressOf(member), CANCEL_METHOD, key, options)
+        .catch(() => {});
+    }
+  }
+
+  #logFailover(group: string, event: FailoverEvent): void {
+    if (event.kind === 'linkFault') {
+      this.#log.debug('linkFault', {group, database: event.databaseId});
+      return;
+    }
+    const {cause, result} = event;
+    this.#log.info('failoverOrdered', {
+      group,
+      cause,
+      outcome: result.kind,
+      detail: JSON.stringify(result),
+    });
+  }
+}
+
+function readTls({tlsCert, tlsKey}: NodeSettings): SecureContext | undefined {
+  if (tlsCert === '') return undefined;
+  return createSecureContext({
+    cert: readFileSync(tlsCert),
+    key: readFileSync(tlsKey),
+  });
+}
--- /dev/null
+++ b/src/node/peer-ports.ts
@@ -0,0 +1,101 @@
+/** The decisions' ports onto other nodes. */
+import type {
+  BudgetMessage,
+  BudgetPeers,
+  BudgetReply,
+  NodeRef,
+} from '../admission/types.js';
+import type {EvidencePort} from '../groups/evidence.js';
+import {addressOf} from '../home/home-router.js';
+import {HOME_METHODS} from '../home/messages.js';
+import type {Member} from '../membership/member.js';
+import type {Members} from '../membership/members.js';
+import type {PeerCaller} from '../peers/types.js';
+
+/** The peer method of the budgets. */
+export const BUDGET_METHOD = 'budget';
+const EVIDENCE_TIMEOUT_MS = 600;
+/** Other nodes asked whether they reach a database. */
+const WITNESSES = 2;
+
+/** Calls the budgets of other nodes. */
+export class MemberBudgetPeers implements BudgetPeers {
+  readonly #members: Members;
+  readonly #caller: PeerCaller;
+
+  constructor(members: Members, caller: PeerCaller) {
+    this.#members = members;
+    this.#caller = caller;
+  }
+
+  async call(
+    instanceOrVm: string,
+    message: BudgetMessage,
+    timeoutMs: number,
+  ): Promise<BudgetReply> {
+    const member = this.#members
+      .all()
+      .find(one => one.instance === instanceOrVm || one.id === instanceOrVm);
+    if (member === undefined) {
+      throw new Error(`no VM runs instance ${instanceOrVm}`);
+    }
+    const options = {timeoutMs};
+    const address = addressOf(member);
+    const reply = this.#caller.call(address, BUDGET_METHOD, message, options);
+    return (await reply) as BudgetReply;
+  }
+
+  live(): readonly NodeRef[] {
+    return this.#members.live().map(refOf);
+  }
+
+  homeOrder(key: string): readonly NodeRef[] {
+    return this.#members.homeOrder(key).map(refOf);
+  }
+}
+
+/** Asks nodes of other data centres what they reach. */
+export class PeerEvidence implements EvidencePort {
+  readonly #members: Members;
+  readonly #caller: PeerCaller;
+  readonly #dataCentre: string;
+
+  constructor(members: Members, caller: PeerCaller, dataCentre: string) {
+    this.#members = members;
+    this.#caller = caller;
+    this.#dataCentre = dataCentre;
+  }
+
+  async canReach(
+    group: string,
+    databaseId: string,
+  ): Promise<readonly boolean[]> {
+    const answers = await Promise.allSettled(
+      this.#witnesses(group).map(member =>
+        this.#caller.call(
+          addressOf(member),
+          HOME_METHODS.reach,
+          {group, databaseId},
+          {timeoutMs: EVIDENCE_TIMEOUT_MS},
+        ),
+      ),
+    );
+    return answers.flatMap(answer =>
+      answer.status === 'fulfilled' ? [answer.value === true] : [],
+    );
+  }
+
+  /** Other nodes, those of other data centres first. */
+  #witnesses(group: string): readonly Member[] {
+    const others = this.#members
+      .homeOrder(`evidence ${group}`)
+      .filter(({id}) => id !== this.#members.selfId);
+    const isNear = ({dataCentre}: Member) => dataCentre === this.#dataCentre;
+    const far = others.filter(member => !isNear(member));
+    return [...far, ...others.filter(isNear)].slice(0, WITNESSES);
+  }
+}
+
+function refOf({id, instance}: Member): NodeRef {
+  return {vm: id, instance};
+}
