--- a/src/cli/table-history.ts
+++ b/src/cli/table-history.ts
@@ -18,7 +18,12 @@
 export function formatEdit(edit: EditRecord): string {
   const at = new Date(edit.at).toISOString();
   const summary = JSON.stringify(edit.summary);
-  return `version=${edit.version} at=${at} by=${edit.by} id=${edit.id} summary=${summary}`;
+  return `version=${edit.version} at=${at} by=${formatField(edit.by)} id=${formatField(edit.id)} summary=${summary}`;
+}
+
+/** Quotes a value that would not read as one word. */
+function formatField(value: string): string {
+  return /^[\w.@:/#-]+$/.test(value) ? value : JSON.stringify(value);
 }
 
 /** The command. */
--- a/src/rollout/config-document.ts
+++ b/src/rollout/config-document.ts
@@ -21,6 +21,7 @@
 export const MAX_RETIRED = 1024;
 
 const MAX_SUMMARY_LENGTH = 160;
+const MAX_BY_LENGTH = 64;
 
 /** One accepted edit. */
 export interface EditRecord {
@@ -76,15 +77,17 @@
  * edit by raising the version.
  */
 export class ConfigDocument implements KeyIndex {
-  /** The configuration before any edit. */
-  static readonly EMPTY = new ConfigDocument(EMPTY_STATE);
-
   readonly #state: ConfigState;
 
   constructor(state: ConfigState) {
     this.#state = state;
   }
 
+  /** The configuration before any edit. */
+  static get EMPTY(): ConfigDocument {
+    return EMPTY_DOCUMENT;
+  }
+
   get version(): number {
     return this.#state.version;
   }
@@ -207,8 +210,13 @@
   /** Accepts an edit: raises the version by one and records it. */
   withEdit(edit: Omit<EditRecord, 'version'>): ConfigDocument {
     const version = this.version + 1;
-    const summary = edit.summary.slice(0, MAX_SUMMARY_LENGTH);
-    const edits = [...this.edits, {...edit, summary, version}];
+    const record: EditRecord = {
+      ...edit,
+      version,
+      by: edit.by.slice(0, MAX_BY_LENGTH),
+      summary: edit.summary.slice(0, MAX_SUMMARY_LENGTH),
+    };
+    const edits = [...this.edits, record];
     return this.#with({version, edits: edits.slice(-MAX_EDITS)});
   }
 
@@ -217,6 +225,9 @@
   }
 }
 
+// Not a static field: tsc's output for ES2022 reads the class before it is set.
+const EMPTY_DOCUMENT = new ConfigDocument(EMPTY_STATE);
+
 function keepLatest<Value>(
   entries: ReadonlyMap<string, Value>,
   max: number,
--- a/src/rollout/edit-result.ts
+++ b/src/rollout/edit-result.ts
@@ -1,6 +1,16 @@
 /** What became of an edit. */
 import {formatRowRef, type RowRef} from './table.js';
 
+/** Another edit changed the same row since the base version. */
+export interface EditConflict {
+  readonly kind: 'conflict';
+  readonly row: RowRef;
+  /** The version in which the other edit changed it. */
+  readonly version: number;
+  readonly yours: string;
+  readonly theirs: string;
+}
+
 /** What became of an edit. */
 export type EditResult =
   /** In the store; `repeated` if an earlier try had already put it there. */
@@ -11,15 +21,7 @@
     }
   /** The configuration already says this. */
   | {readonly kind: 'unchanged'; readonly version: number}
-  /** Another operator changed the same row since the base version. */
-  | {
-      readonly kind: 'conflict';
-      readonly row: RowRef;
-      /** The version in which the other operator changed it. */
-      readonly version: number;
-      readonly yours: string;
-      readonly theirs: string;
-    }
+  | EditConflict
   /** The change itself is not allowed. */
   | {readonly kind: 'refused'; readonly reason: string}
   /** Not applied: the store could not be reached, or the race was never won. */
@@ -45,12 +47,7 @@
     case 'unchanged':
       return `nothing to change, version ${result.version} already says so`;
     case 'conflict':
-      return (
-        `${formatRowRef(result.row)}: the edit of ${result.yours} was not ` +
-        `applied, because ${result.theirs} changed the same row in version ` +
-        `${result.version}; read the row with zinnia table get, agree with ` +
-        `${result.theirs} and repeat the edit`
-      );
+      return describeConflict(result);
     case 'refused':
       return result.reason;
     case 'unreachable':
@@ -63,3 +60,15 @@
       );
   }
 }
+
+function describeConflict(conflict: EditConflict): string {
+  const {row, yours, theirs, version} = conflict;
+  const isOwn = yours === theirs;
+  const remedy = isOwn ? '' : `agree with ${theirs} and `;
+  return (
+    `${formatRowRef(row)}: the edit of ${yours} was not applied, because ` +
+    `${isOwn ? 'an earlier edit of yours' : theirs} changed the same row in ` +
+    `version ${version}; read the table again with zinnia table get, ` +
+    `${remedy}repeat the edit on it`
+  );
+}
--- a/src/rollout/editor.ts
+++ b/src/rollout/editor.ts
@@ -14,6 +14,7 @@
 /** How long an edit is tried for, unless the options say otherwise. */
 export const DEFAULT_EDIT_TIMEOUT_MS = 10_000;
 
+const MAX_EDIT_ID_LENGTH = 64;
 const FIRST_RETRY_DELAY_MS = 20;
 const MAX_RETRY_DELAY_MS = 1_000;
 
@@ -85,6 +86,10 @@
    * );
    */
   async edit(change: Change, identity: EditIdentity): Promise<EditResult> {
+    if (identity.id === '' || identity.id.length > MAX_EDIT_ID_LENGTH) {
+      const reason = `an edit id has 1 to ${MAX_EDIT_ID_LENGTH} characters; use a UUID`;
+      return {kind: 'refused', reason};
+    }
     const progress: Progress = {
       baseVersion: change.kind === 'rows' ? change.baseVersion : undefined,
       uncertainSince: undefined,
--- a/test/fakes/memory-store.ts
+++ b/test/fakes/memory-store.ts
@@ -1,5 +1,6 @@
 /** A store in memory, with faults on demand, for tests under virtual time. */
 import type {Clock} from '../../src/platform/clock.js';
+import {WatchCompactedError} from '../../src/platform/etcd-errors.js';
 import {
   StoreError,
   type Store,
@@ -36,6 +37,7 @@
   readonly #leases = new Map<string, {ttlMs: number; endsAt: number}>();
   readonly #interferences: {key: string; change: Interference}[] = [];
   #revision = 0;
+  #compactedRevision = 0;
   #nextLease = 1;
   #lostAnswers = 0;
   #lostRequests = 0;
@@ -81,6 +83,11 @@
     this.#record({key, value: undefined, revision: this.#revision});
   }
 
+  /** Forgets the changes before the current revision. */
+  compact(): void {
+    this.#compactedRevision = this.#revision;
+  }
+
   async get(key: string): Promise<StoredValue | undefined> {
     await this.#enter('get');
     return this.#values.get(key);
@@ -119,6 +126,9 @@
     signal: AbortSignal,
   ): AsyncIterable<WatchItem> {
     await this.#enter('watch');
+    if (fromRevision > 0 && fromRevision < this.#compactedRevision) {
+      throw new WatchCompactedError(this.#compactedRevision);
+    }
     let next = fromRevision > 0 ? fromRevision : this.#revision + 1;
     while (!signal.aborted) {
       this.#failWhenDown();
--- a/test/platform/store-contract.test.ts
+++ b/test/platform/store-contract.test.ts
@@ -1,5 +1,6 @@
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {SystemClock} from '../../src/platform/clock.js';
+import {WatchCompactedError} from '../../src/platform/etcd-errors.js';
 import {EtcdStore} from '../../src/platform/etcd-store.js';
 import type {Store, WatchEvent} from '../../src/platform/store.js';
 import {
@@ -11,6 +12,7 @@
 interface Fixture {
   readonly store: Store;
   loseAnswers(count: number): void;
+  compact(): void;
   setDown(down: boolean): Promise<void>;
   close(): Promise<void>;
 }
@@ -20,6 +22,7 @@
   return {
     store,
     loseAnswers: count => store.loseAnswers(count),
+    compact: () => store.compact(),
     setDown: async down => {
       store.down = down;
     },
@@ -32,6 +35,7 @@
   return {
     store: new EtcdStore({url: server.url}),
     loseAnswers: count => server.faults.loseAnswers(count),
+    compact: () => server.compact(),
     setDown: down => (down ? server.startOutage('refuse') : server.endOutage()),
     close: () => server.close(),
   };
@@ -152,6 +156,16 @@
     await ended;
   });
 
+  test('tells a watch where the history begins', async () => {
+    await store.compareAndSwap('a/1', 0, 'one');
+    await store.compareAndSwap('a/2', 0, 'two');
+    fixture.compact();
+    const err = await collectEvents(store, 1, 1).catch((e: unknown) => e);
+    if (!(err instanceof WatchCompactedError)) throw err;
+    const events = await collectEvents(store, err.compactRevision, 1);
+    expect(events).toMatchObject([{key: 'a/2', value: 'two'}]);
+  });
+
   test('renews a lease until it is revoked', async () => {
     const lease = await store.grantLease(5_000);
     expect(await store.keepAlive(lease)).toBe(true);
--- a/test/rollout/editor.test.ts
+++ b/test/rollout/editor.test.ts
@@ -197,6 +197,27 @@
   expect(describeEditResult(result)).toContain('withdraw them first');
 });
 
+test('refuses an edit that would pass the limit of the store', async () => {
+  const {document} = await readConfig(store);
+  const records = Array.from(
+    {length: 10_000},
+    () => createKey('lab', 1_700_000_000_000).record,
+  );
+  const keys = new Map(records.map(record => [record.id, record]));
+  const full = new ConfigDocument({...document.state, keys});
+  store.put(CONFIG_KEY, encodeDocument(full));
+  const result = await editor.edit(putRow(createTeamRow('new')), ana('e'));
+  expect(result).toMatchObject({kind: 'refused'});
+  expect(describeEditResult(result)).toContain('over the store');
+});
+
+test('refuses an edit id that can not be kept', async () => {
+  for (const id of ['', 'x'.repeat(65)]) {
+    const result = await editor.edit(putRow({...lab, rate: 9}), ana(id));
+    expect(result).toMatchObject({kind: 'refused'});
+  }
+});
+
 test('retires an instance once', async () => {
   const change = {kind: 'retire', instance: 'vm1#4'} as const;
   expect(await editor.edit(change, ana('r1'))).toMatchObject({version: 2});
