--- a/src/cli/finish-edit.ts
+++ b/src/cli/finish-edit.ts
@@ -4,7 +4,7 @@
 import type {EditIdentity} from '../rollout/editor.js';
 import type {CommandContext} from './context.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
-import {formatInForce, waitInForce} from './in-force.js';
+import {formatInForce, isInForce, waitInForce} from './in-force.js';
 import type {EditArgs} from './store-option.js';
 
 /** Who edits, under a new id unless the operator repeats an edit. */
@@ -44,7 +44,7 @@
   const timeoutMs = args.timeout;
   const report = await waitInForce({store, clock, version, timeoutMs});
   for (const line of formatInForce(report)) ctx.output.print(line);
-  if (report.total !== undefined && report.lagging.length === 0) return EXIT.ok;
+  if (isInForce(report)) return EXIT.ok;
   ctx.output.note(
     `error: version ${version} was accepted but not seen in force everywhere ` +
       `within ${timeoutMs} ms; see zinnia vm list, it stays accepted`,
--- a/src/cli/in-force.ts
+++ b/src/cli/in-force.ts
@@ -57,14 +57,17 @@
       if (seen !== undefined && seen >= version) confirmed.add(vm.id);
       else lagging.push({vm, version: seen});
     }
-    const isDone = vms !== undefined && lagging.length === 0;
-    if (isDone || clock.now() >= deadline) {
-      return {total: vms?.length, lagging};
-    }
+    const report: InForceReport = {total: vms?.length, lagging};
+    if (isInForce(report) || clock.now() >= deadline) return report;
     await clock.sleep(POLL_INTERVAL_MS);
   }
 }
 
+/** Whether every listed VM has the version; false when none is listed. */
+export function isInForce({total, lagging}: InForceReport): boolean {
+  return total !== undefined && total > 0 && lagging.length === 0;
+}
+
 /** Says where a version is in force, one line for each VM that lags. */
 export function formatInForce(report: InForceReport): readonly string[] {
   const {total, lagging} = report;
--- a/test/cli/in-force.test.ts
+++ b/test/cli/in-force.test.ts
@@ -60,6 +60,13 @@
   expect(out).toContain('in force on 6 of 7');
 });
 
+test('does not take an empty list for in force', async () => {
+  server.setVms([]);
+  const {code, out} = await run(...setLab, '--timeout', '100ms');
+  expect(code).toBe(3);
+  expect(out).toContain('in force on 0 of 0');
+});
+
 test('lists the vms with their versions', async () => {
   await admins[1]?.close();
   server.setVms(admins.slice(0, 2).map(admin => admin.vm));
