--- /dev/null
+++ b/src/membership/exchange.ts
@@ -0,0 +1,211 @@
+/** Anti-entropy: pairs of nodes compare what they know and fill the gaps. */
+
+import type {FreshPeerCaller, PeerSession} from '../peers/peer-pool.js';
+import type {PeerHandler} from '../peers/types.js';
+import type {Clock, Random} from '../platform/clock.js';
+import {elapsedSince, takeInstant, type Instant} from './elapsed.js';
+import {toPeerAddress} from './known-vm.js';
+import type {Member} from './member.js';
+import type {Members} from './members.js';
+
+/** Time between the exchanges that one node starts. */
+export const EXCHANGE_INTERVAL_MS = 500;
+
+/** Longest time for one step of an exchange. */
+const EXCHANGE_TIMEOUT_MS = 500;
+
+/** Chance that the partner is a VM taken for dead, so that islands rejoin. */
+const DEAD_PARTNER_CHANCE = 0.1;
+
+/** Fleets above this size make a connection for each exchange. */
+const POOLED_FLEET_SIZE = 32;
+
+const METHOD_COMPARE = 'exchange.compare';
+const METHOD_PROVIDE = 'exchange.provide';
+
+/** What a comparison found. */
+export interface Comparison {
+  /** Content that the other node lacks. */
+  readonly give?: unknown;
+  /** What this node lacks; handed to `provide` at the other. */
+  readonly want?: unknown;
+}
+
+/** One kind of knowledge that nodes exchange. All values are plain data. */
+export interface ExchangeSection {
+  /** Short, since it is sent with each message. */
+  readonly name: string;
+  /** What this node has, for the other to compare; not dated. */
+  summary(): unknown;
+  /** Compares the other's summary with what this node has. */
+  compare(theirs: unknown, from: string): Comparison;
+  /** Content for what the other node wanted. */
+  provide(want: unknown): unknown;
+  /** Takes content that the other node sent at most `elapsedMs` ago. */
+  accept(content: unknown, elapsedMs: number, from: string): void;
+}
+
+type Sections = Readonly<Record<string, unknown>>;
+
+interface CompareAnswer {
+  readonly give: Sections;
+  readonly want: Sections;
+  /** The answering node's own clocks, returned to it with what it wanted. */
+  readonly stamp: readonly [string, number, number];
+}
+
+/** What an exchange needs. */
+export interface ExchangeOptions {
+  readonly members: Members;
+  readonly caller: FreshPeerCaller;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly sections: readonly ExchangeSection[];
+}
+
+/** Exchanges knowledge with one random node at a time. */
+export class Exchange {
+  readonly #options: ExchangeOptions;
+  readonly #sections: ReadonlyMap<string, ExchangeSection>;
+  #partnersOf: readonly Member[] | undefined;
+  #dead: readonly Member[] = [];
+  #others: readonly Member[] = [];
+
+  constructor(options: ExchangeOptions) {
+    this.#options = options;
+    this.#sections = new Map(
+      options.sections.map(section => [section.name, section]),
+    );
+  }
+
+  /** The methods that other nodes call. */
+  get handlers(): Readonly<Record<string, PeerHandler>> {
+    return {
+      [METHOD_COMPARE]: async (body, ctx) => this.#onCompare(body, ctx.from),
+      [METHOD_PROVIDE]: async (body, ctx) => this.#onProvide(body, ctx.from),
+    };
+  }
+
+  /** Exchanges until `signal` aborts; failures are left to the next round. */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock, random} = this.#options;
+    await clock.sleep(random.next() * EXCHANGE_INTERVAL_MS, signal);
+    while (!signal.aborted) {
+      const start = takeInstant(clock);
+      await this.runOnce().catch(() => {});
+      const restMs = EXCHANGE_INTERVAL_MS - elapsedSince(clock, start);
+      await clock.sleep(Math.max(0, restMs), signal);
+    }
+  }
+
+  /** Exchanges with one node; rejects if that fails. */
+  async runOnce(): Promise<void> {
+    const partner = this.#choosePartner();
+    if (partner === undefined) return;
+    const {caller, members} = this.#options;
+    const address = toPeerAddress(partner);
+    if (members.live().length <= POOLED_FLEET_SIZE) {
+      const call = caller.call.bind(caller, address);
+      return this.#exchange(partner.id, {call, close: () => {}});
+    }
+    const limit = {timeoutMs: EXCHANGE_TIMEOUT_MS};
+    const session = await caller.openFresh(address, limit);
+    try {
+      await this.#exchange(partner.id, session);
+    } finally {
+      session.close();
+    }
+  }
+
+  #choosePartner(): Member | undefined {
+    const {members, random} = this.#options;
+    const {selfId} = members;
+    if (this.#partnersOf !== members.all()) {
+      this.#partnersOf = members.all();
+      const known = this.#partnersOf.filter(vm => vm.id !== selfId);
+      this.#dead = known.filter(vm => vm.status === 'dead');
+      this.#others = known.filter(vm => vm.status !== 'dead');
+    }
+    const tryDead =
+      this.#others.length === 0 || random.next() < DEAD_PARTNER_CHANCE;
+    const choice = this.#dead.length > 0 && tryDead ? this.#dead : this.#others;
+    return choice[Math.floor(random.next() * choice.length)];
+  }
+
+  async #exchange(partnerId: string, session: PeerSession): Promise<void> {
+    const {clock} = this.#options;
+    const limit = {timeoutMs: EXCHANGE_TIMEOUT_MS};
+    const start = takeInstant(clock);
+    const answer = (await session.call(
+      METHOD_COMPARE,
+      this.#collect(section => section.summary()),
+      limit,
+    )) as CompareAnswer;
+    const elapsedMs = elapsedSince(clock, start);
+    this.#accept(answer.give, elapsedMs, partnerId);
+    const provided = this.#collect(section => {
+      const want = answer.want[section.name];
+      return want === undefined ? undefined : section.provide(want);
+    });
+    if (Object.keys(provided).length === 0) return;
+    const body = {give: provided, stamp: answer.stamp};
+    await session.call(METHOD_PROVIDE, body, limit);
+  }
+
+  #onCompare(body: unknown, from: string): CompareAnswer {
+    const summaries = toSections(body);
+    const give: Record<string, unknown> = {};
+    const want: Record<string, unknown> = {};
+    for (const [name, section] of this.#sections) {
+      const comparison = section.compare(summaries[name], from);
+      if (comparison.give !== undefined) give[name] = comparison.give;
+      if (comparison.want !== undefined) want[name] = comparison.want;
+    }
+    const {monotonicMs, wallMs} = takeInstant(this.#options.clock);
+    const {instance} = this.#options.members.selfIdentity;
+    const stamp = [instance, Math.floor(monotonicMs), Math.floor(wallMs)];
+    return {give, want, stamp: stamp as [string, number, number]};
+  }
+
+  #onProvide(body: unknown, from: string): null {
+    const {give, stamp} = toSections(body);
+    const sentAt = this.#readStamp(stamp);
+    if (sentAt === undefined) return null;
+    const elapsedMs = elapsedSince(this.#options.clock, sentAt);
+    this.#accept(toSections(give), elapsedMs, from);
+    return null;
+  }
+
+  /** A stamp counts only in the process that made it. */
+  #readStamp(stamp: unknown): Instant | undefined {
+    if (!Array.isArray(stamp)) return undefined;
+    const [instance, monotonicMs, wallMs] = stamp as unknown[];
+    if (instance !== this.#options.members.selfIdentity.instance) {
+      return undefined;
+    }
+    if (typeof monotonicMs !== 'number' || typeof wallMs !== 'number') {
+      return undefined;
+    }
+    return {monotonicMs, wallMs};
+  }
+
+  #accept(give: Sections, elapsedMs: number, from: string): void {
+    for (const [name, section] of this.#sections) {
+      const content = give[name];
+      if (content !== undefined) section.accept(content, elapsedMs, from);
+    }
+  }
+
+  #collect(take: (section: ExchangeSection) => unknown): Sections {
+    const contents: Record<string, unknown> = {};
+    for (const [name, section] of this.#sections) {
+      const content = take(section);
+      if (content !== undefined) contents[name] = content;
+    }
+    return contents;
+  }
+}
+
+function toSections(value: unknown): Sections {
+  return typeof value === 'object' && value !== null ? (value as Sections) : {};
+}
--- /dev/null
+++ b/src/membership/member-digest.ts
@@ -0,0 +1,61 @@
+/** What a node tells others of the VMs. */
+
+import {toDelta, type KnownVm} from './known-vm.js';
+import type {MemberDelta} from './member.js';
+import type {MemberChanges} from './member-changes.js';
+import {rendezvousScore} from './rendezvous.js';
+
+/** Chooses what to tell; accusations come only from a majority. */
+export class MemberDigest {
+  readonly #vms: ReadonlyMap<string, KnownVm>;
+  readonly #changes: MemberChanges;
+  readonly #mayAccuse: () => boolean;
+  #checksum: number | undefined;
+
+  constructor(
+    vms: ReadonlyMap<string, KnownVm>,
+    changes: MemberChanges,
+    mayAccuse: () => boolean,
+  ) {
+    this.#vms = vms;
+    this.#changes = changes;
+    this.#mayAccuse = mayAccuse;
+  }
+
+  /** Forgets what was computed, after a change of the view. */
+  clear(): void {
+    this.#checksum = undefined;
+  }
+
+  /** Recent changes for the next message. */
+  takeDeltas(): readonly MemberDelta[] {
+    const mayAccuse = this.#mayAccuse();
+    const ids = this.#changes.take(this.#vms.size, id => {
+      const status = this.#vms.get(id)?.identity.status;
+      if (status === undefined) return false;
+      return mayAccuse || status === 'alive' || status === 'leaving';
+    });
+    return ids.map(id => toDelta(this.#vms.get(id)!));
+  }
+
+  /** Listed VMs that are not alive, for a node that has missed some. */
+  downDeltas(): readonly MemberDelta[] {
+    return this.#mayAccuse() ? this.#down().map(toDelta) : [];
+  }
+
+  /** Equal on two nodes that agree on which listed VMs are not alive. */
+  get checksum(): number {
+    this.#checksum ??= this.#down().reduce(
+      (sum, {record, identity}) =>
+        (sum ^ rendezvousScore(`${identity.incarnation}`, record.id)) >>> 0,
+      0,
+    );
+    return this.#checksum;
+  }
+
+  #down(): KnownVm[] {
+    return [...this.#vms.values()].filter(
+      vm => vm.listing === 'listed' && vm.identity.status !== 'alive',
+    );
+  }
+}
--- /dev/null
+++ b/test/membership/fleet.ts
@@ -0,0 +1,186 @@
+/** Nodes of a virtual network with a store that can fail. */
+
+import {
+  createCoordination,
+  type Coordination,
+} from '../../src/membership/coordination.js';
+import {
+  StoreError,
+  type Store,
+  type StoredValue,
+  type SwapResult,
+  type WatchItem,
+} from '../../src/platform/store.js';
+import {VM_LIST_KEY, type VmRecord} from '../../src/platform/vm-list.js';
+import {VirtualClock, type NodeClock} from '../fakes/virtual-clock.js';
+import {VirtualNetwork, type NetworkFaults} from '../fakes/virtual-network.js';
+
+const PROGRESS_MS = 1_000;
+const STORE_LATENCY_MS = 3;
+const DATA_CENTRES = ['dc-a', 'dc-b', 'dc-c', 'dc-d'];
+
+/** The store's content and state. */
+export class FakeStore {
+  readonly values = new Map<string, StoredValue>();
+  readonly #time: VirtualClock;
+  #revision = 0;
+  /** Ids of the nodes that can't reach it; `all` for an outage. */
+  unreachableFor: ReadonlySet<string> | 'all' = new Set();
+  calls = 0;
+
+  constructor(time: VirtualClock) {
+    this.#time = time;
+  }
+
+  put(key: string, value: string): number {
+    const revision = ++this.#revision;
+    this.values.set(key, {key, value, revision});
+    return revision;
+  }
+
+  /** The store as one node reaches it. */
+  forNode(id: string, clock: NodeClock): Store {
+    const check = () => {
+      const out = this.unreachableFor;
+      if (out !== 'all' && !out.has(id)) return;
+      throw new StoreError('notSent', 'store is out');
+    };
+    const read = async <T>(value: () => T): Promise<T> => {
+      this.calls++;
+      await clock.sleep(STORE_LATENCY_MS);
+      check();
+      return value();
+    };
+    const unused = () => Promise.reject(new Error('not in this fake'));
+    return {
+      get: key => read(() => this.values.get(key)),
+      list: () => read(() => [...this.values.values()]),
+      watch: (prefix, from, signal) =>
+        this.#watch(prefix, from, signal, clock, check),
+      compareAndSwap: unused as () => Promise<SwapResult>,
+      grantLease: unused as () => Promise<string>,
+      keepAlive: unused as () => Promise<boolean>,
+      revokeLease: unused as () => Promise<void>,
+    };
+  }
+
+  async *#watch(
+    prefix: string,
+    from: number,
+    signal: AbortSignal,
+    clock: NodeClock,
+    check: () => void,
+  ): AsyncIterable<WatchItem> {
+    this.calls++;
+    let next = from;
+    let sentMs = -Infinity;
+    while (!signal.aborted) {
+      check();
+      const news = [...this.values.values()]
+        .filter(({key, revision}) => key.startsWith(prefix) && revision >= next)
+        .sort((a, b) => a.revision - b.revision);
+      if (news.length > 0) {
+        next = news.at(-1)!.revision + 1;
+        yield {kind: 'events', events: news};
+      } else if (this.#time.now() - sentMs >= PROGRESS_MS) {
+        yield {kind: 'progress', revision: this.#revision};
+      }
+      if (news.length > 0 || this.#time.now() - sentMs >= PROGRESS_MS) {
+        sentMs = this.#time.now();
+      }
+      await clock.sleep(50, signal);
+    }
+  }
+}
+
+/** Settings of a fleet. */
+export interface FleetOptions {
+  readonly size: number;
+  readonly seed?: number;
+  readonly faults?: Partial<NetworkFaults>;
+  readonly watchersPerDataCentre?: number;
+}
+
+/** A running fleet under virtual time. */
+export class Fleet {
+  readonly clock = new VirtualClock();
+  readonly store = new FakeStore(this.clock);
+  readonly net: VirtualNetwork;
+  readonly nodes = new Map<string, Coordination>();
+  readonly records: readonly VmRecord[];
+  readonly #options: FleetOptions;
+  #starts = 0;
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+    const faults = {latencyMs: 1, ...options.faults};
+    this.net = new VirtualNetwork(this.clock, options.seed ?? 1, faults);
+    this.records = Array.from({length: options.size}, (_, at) => ({
+      id: `vm-${String(at).padStart(3, '0')}`,
+      host: `10.0.${at >> 8}.${at & 255}`,
+      peerPort: 7100,
+      adminPort: 7200,
+      dataCentre: DATA_CENTRES[at % DATA_CENTRES.length]!,
+      state: 'live' as const,
+    }));
+    this.publishList();
+  }
+
+  /** Writes the list of VMs to the store. */
+  publishList(records: readonly VmRecord[] = this.records): number {
+    return this.store.put(VM_LIST_KEY, JSON.stringify(records));
+  }
+
+  /** Starts every VM's process. */
+  startAll(): void {
+    for (const record of this.records) this.start(record);
+  }
+
+  /** Starts the process of one VM. */
+  start(record: VmRecord): Coordination {
+    const node = this.net.addNode(record.id);
+    const coordination = createCoordination({
+      self: record,
+      store: this.store.forNode(record.id, node.clock),
+      caller: node,
+      clock: node.clock,
+      random: this.net,
+      instance: `i${++this.#starts}`,
+      watchersPerDataCentre: this.#options.watchersPerDataCentre,
+    });
+    for (const [method, handler] of coordination.handlers) {
+      node.handlers.set(method, handler);
+    }
+    coordination.start();
+    this.nodes.set(record.id, coordination);
+    return coordination;
+  }
+
+  /** Ends the process of one VM. */
+  end(id: string): void {
+    this.net.endProcess(id);
+    void this.nodes.get(id)?.stop();
+    this.nodes.delete(id);
+  }
+
+  node(id: string): Coordination {
+    const node = this.nodes.get(id);
+    if (node === undefined) throw new Error(`${id} does not run`);
+    return node;
+  }
+
+  /** The clock of one VM. */
+  clockOf(id: string): NodeClock {
+    return this.net.find({id, host: '', port: 0})!.clock;
+  }
+
+  ids(): readonly string[] {
+    return [...this.nodes.keys()];
+  }
+
+  /** Ends every process. */
+  async stop(): Promise<void> {
+    for (const id of this.ids()) this.end(id);
+    await this.clock.settle();
+  }
+}
