--- a/src/groups/acknowledgement.ts
+++ b/src/groups/acknowledgement.ts
@@ -1,5 +1,6 @@
 /** Decides when a committed write may be acknowledged. */
 import type {Clock} from '../platform/clock.js';
+import {startTimer} from '../platform/timer.js';
 import type {Position} from '../session/position.js';
 import {DONE, mayHaveRun, type Verdict} from '../verdict/verdict.js';
 import {ConfirmLane, type AckMode, type PendingWrite} from './confirm-lane.js';
@@ -63,14 +64,13 @@
     );
     const needed = majorityOf(this.#controls.length) - 1;
     if (needed === 0) return {kind: 'acknowledged'};
-    const settled = new AbortController();
     const pending = new WaitingWrite(write, needed, others.length);
     for (const control of others) this.#laneOf(control, write.ack).add(pending);
-    void this.#clock
-      .sleep(write.timeoutMs, settled.signal)
-      .then(() => pending.settle({kind: 'timeout'}));
+    const cancel = startTimer(this.#clock, write.timeoutMs, () =>
+      pending.settle({kind: 'timeout'}),
+    );
     const result = await pending.result;
-    settled.abort();
+    cancel();
     return result;
   }
 
--- a/src/home/database-lane.ts
+++ b/src/home/database-lane.ts
@@ -6,6 +6,7 @@
 import {FairQueue} from '../admission/fair-queue.js';
 import type {DatabaseSpec} from '../groups/types.js';
 import type {Clock} from '../platform/clock.js';
+import {startTimer} from '../platform/timer.js';
 import {TargetError, type TargetConnection} from '../targets/types.js';
 import {notRun, type NotRun} from '../verdict/verdict.js';
 import type {Priority} from './types.js';
@@ -140,9 +141,12 @@
   #enqueue(req: SlotRequest): Promise<SlotResult> {
     const {clock} = this.#options;
     return new Promise(resolve => {
-      const settled = new AbortController();
+      const leftMs = req.deadlineAt - clock.now();
+      const cancel = startTimer(clock, leftMs, () => {
+        if (this.#queue.remove(waiter)) settle(this.#overloaded(this.#costMs));
+      });
       const settle = (result: SlotResult) => {
-        settled.abort();
+        cancel();
         resolve(result);
       };
       const waiter: Waiter = {req, settle};
@@ -155,12 +159,6 @@
       if (offered.kind === 'refused') {
         return settle(this.#overloaded(offered.retryAfterMs));
       }
-      void clock
-        .sleep(req.deadlineAt - clock.now(), settled.signal)
-        .then(() => {
-          if (this.#queue.remove(waiter))
-            settle(this.#overloaded(this.#costMs));
-        });
     });
   }
 
@@ -193,17 +191,16 @@
   /** Whether a connection answers; something between may have lost it. */
   async #answers(connection: TargetConnection): Promise<boolean> {
     const {clock} = this.#options;
-    const done = new AbortController();
-    void clock.sleep(VALIDATE_TIMEOUT_MS, done.signal).then(() => {
-      if (!done.signal.aborted) connection.close();
-    });
+    const cancel = startTimer(clock, VALIDATE_TIMEOUT_MS, () =>
+      connection.close(),
+    );
     try {
       await connection.run(serialize.sync(), IGNORE_ANSWER);
       return connection.usable;
     } catch {
       return false;
     } finally {
-      done.abort();
+      cancel();
     }
   }
 
--- a/src/home/statement-runs.ts
+++ b/src/home/statement-runs.ts
@@ -1,5 +1,6 @@
 /** The batches that run on a group's databases at this moment. */
 import type {Clock} from '../platform/clock.js';
+import {startTimer} from '../platform/timer.js';
 import type {
   AnswerObserver,
   BatchEnd,
@@ -33,16 +34,15 @@
    * @throws TargetError `lost` when the deadline passed or the connection ended
    */
   async run(run: StatementRun): Promise<BatchEnd> {
-    const finished = new AbortController();
-    const leftMs = Math.max(0, run.deadlineAt - this.#clock.now());
-    void this.#clock.sleep(leftMs, finished.signal).then(() => {
-      if (!finished.signal.aborted) run.connection.close();
-    });
+    const leftMs = run.deadlineAt - this.#clock.now();
+    const cancel = startTimer(this.#clock, leftMs, () =>
+      run.connection.close(),
+    );
     this.#running.add(run);
     try {
       return await run.connection.run(run.frames, run.observer);
     } finally {
-      finished.abort();
+      cancel();
       this.#running.delete(run);
     }
   }
--- a/src/home/transactions.ts
+++ b/src/home/transactions.ts
@@ -2,6 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {serialize} from 'pg-protocol';
 import type {Clock} from '../platform/clock.js';
+import {startTimer} from '../platform/timer.js';
 import type {Slot} from './database-lane.js';
 
 /** How long a transaction may stand idle before it is rolled back. */
@@ -85,16 +86,15 @@
 const IGNORE_ANSWER = {onFrames: () => {}};
 
 async function rollBack(clock: Clock, slot: Slot): Promise<void> {
-  const done = new AbortController();
-  void clock.sleep(ROLLBACK_TIMEOUT_MS, done.signal).then(() => {
-    if (!done.signal.aborted) slot.connection.close();
-  });
+  const cancel = startTimer(clock, ROLLBACK_TIMEOUT_MS, () =>
+    slot.connection.close(),
+  );
   try {
     await slot.connection.run(serialize.query('ROLLBACK'), IGNORE_ANSWER);
   } catch {
     // A lost connection has ended the transaction as well.
   } finally {
-    done.abort();
+    cancel();
     slot.release();
   }
 }
--- a/src/peers/peer-pool.ts
+++ b/src/peers/peer-pool.ts
@@ -98,6 +98,8 @@
     body: unknown,
     options: CallOptions,
   ): Promise<unknown> {
+    const open = this.#openLink(to);
+    if (open !== undefined) return open.call(method, body, options);
     const startMs = this.#clock.now();
     let link = await this.#waitFor(this.#link(to), to, options);
     if (!link.usable) {
@@ -132,6 +134,13 @@
     }
   }
 
+  /** The connection to a node, if it is open already. */
+  #openLink(to: PeerAddress): PeerLink | undefined {
+    const entry = this.#entries.get(to.id);
+    if (entry === undefined || !isCurrent(entry, to)) return undefined;
+    return entry.link?.usable ? entry.link : undefined;
+  }
+
   #link(to: PeerAddress): Promise<PeerLink> {
     if (this.#closed.signal.aborted) {
       return Promise.reject(new PeerError('notSent', 'this node is closing'));
--- a/src/peers/pending-call.ts
+++ b/src/peers/pending-call.ts
@@ -1,6 +1,7 @@
 /** A call that waits for its answer. */
 
 import type {Clock} from '../platform/clock.js';
+import {startTimer} from '../platform/timer.js';
 import type {PeerMessage} from './messages.js';
 import {PeerError, type CallOptions} from './types.js';
 
@@ -15,7 +16,8 @@
   readonly #id: number;
   readonly #options: CallOptions;
   readonly #send: SendMessage;
-  readonly #finished = new AbortController();
+  readonly #cancelTimeout: () => void;
+  #isFinished = false;
   readonly #abort = () => this.#giveUp('call was cancelled by its caller');
   #settle!: {
     resolve: (value: unknown) => void;
@@ -40,7 +42,10 @@
       this.#settle = {resolve, reject};
     });
     options.signal?.addEventListener('abort', this.#abort, {once: true});
-    void this.#watchTimeout(clock);
+    const {timeoutMs} = options;
+    this.#cancelTimeout = startTimer(clock, timeoutMs, () =>
+      this.#giveUp(`no answer within ${timeoutMs} ms`),
+    );
   }
 
   /** Queues one part for the caller, behind those before it. */
@@ -63,7 +68,7 @@
   }
 
   async #deliver(body: unknown, bytes: number): Promise<void> {
-    if (this.#finished.signal.aborted) return;
+    if (this.#isFinished) return;
     try {
       await this.#options.onPart?.(body);
     } catch (err) {
@@ -72,18 +77,11 @@
     }
     this.#ungrantedBytes += bytes;
     if (this.#ungrantedBytes < CREDIT_GRANT_BYTES) return;
-    if (this.#finished.signal.aborted) return;
+    if (this.#isFinished) return;
     this.#send({kind: 'credit', id: this.#id, bytes: this.#ungrantedBytes});
     this.#ungrantedBytes = 0;
   }
 
-  async #watchTimeout(clock: Clock): Promise<void> {
-    const {timeoutMs} = this.#options;
-    await clock.sleep(timeoutMs, this.#finished.signal);
-    if (this.#finished.signal.aborted) return;
-    this.#giveUp(`no answer within ${timeoutMs} ms`);
-  }
-
   #giveUp(reason: string): void {
     this.#send({kind: 'cancel', id: this.#id});
     this.fail(new PeerError('lost', reason));
@@ -91,6 +89,7 @@
 
   #finish(): void {
     this.#options.signal?.removeEventListener('abort', this.#abort);
-    this.#finished.abort();
+    this.#isFinished = true;
+    this.#cancelTimeout();
   }
 }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,8 +3,8 @@
 export default defineConfig({
   test: {
     include: ['test/**/*.test.ts'],
-    testTimeout: 30_000,
-    hookTimeout: 30_000,
+    testTimeout: 120_000,
+    hookTimeout: 60_000,
     pool: 'forks',
     maxWorkers: 4,
   },
