--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -14,6 +14,12 @@
 );
 const START_TIMEOUT_MS = 20_000;
 
+/** Processes still running, ended with this one whatever ends it. */
+const running = new Set<ChildProcess>();
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
 /** One process and what it wrote to standard error. */
 export class FleetProcess {
   readonly #child: ChildProcess;
@@ -36,6 +42,8 @@
     });
     this.#child.stdout?.on('data', chunk => (this.#output += String(chunk)));
     this.#child.stderr?.on('data', chunk => (this.#errors += String(chunk)));
+    running.add(this.#child);
+    this.#child.once('exit', () => running.delete(this.#child));
     this.#exited = new Promise(resolve =>
       this.#child.once('exit', () => resolve()),
     );
--- a/src/callers/caller-session.ts
+++ b/src/callers/caller-session.ts
@@ -23,6 +23,7 @@
   TOKEN_PARAMETER,
   type ParameterFault,
 } from './session-parameters.js';
+import {SessionOutput} from './session-output.js';
 import {ProtocolError, type Frame, type SocketReader} from './socket-reader.js';
 import {StatementRunner} from './statement-runner.js';
 import type {Authority, SessionDeps} from './types.js';
@@ -49,6 +50,7 @@
   readonly #parameters: SessionParameters;
   readonly #runner: StatementRunner;
   readonly #gone = new AbortController();
+  readonly #output: SessionOutput;
   #batch = new BatchBuilder();
   /** Set while the rest of a faulty batch is skipped up to its Sync. */
   #skipping = false;
@@ -62,6 +64,7 @@
     parameters: SessionParameters,
   ) {
     this.#channel = channel;
+    this.#output = new SessionOutput(channel.socket);
     this.#deps = deps;
     this.#authority = authority;
     this.#parameters = parameters;
@@ -77,6 +80,7 @@
   async run(): Promise<void> {
     try {
       this.#write(readyForQuery('idle'));
+      this.#output.flush();
       while (await this.#serveNext());
     } catch (err) {
       if (!(err instanceof ProtocolError)) throw err;
@@ -87,6 +91,7 @@
       });
     } finally {
       this.#runner.abandon();
+      this.#output.flush();
       this.#channel.socket.end();
     }
   }
@@ -105,6 +110,7 @@
     if (this.#busy) return;
     if (graceful && this.#runner.transaction !== 'idle') return;
     this.#writeError(fields);
+    this.#output.flush();
     this.#channel.socket.end();
   }
 
@@ -117,6 +123,7 @@
       await this.#serve(frame);
     } finally {
       this.#busy = false;
+      this.#output.flush();
     }
     if (this.#closing === undefined) return true;
     if (this.#runner.transaction !== 'idle' || !this.#batch.isEmpty)
@@ -166,7 +173,7 @@
         classification,
         statements: classification.statements.length,
         arrivedAt,
-        sink: frames => this.#forward(Buffer.from(frames)),
+        sink: frames => this.#output.pass(Buffer.from(frames)),
         signal: this.#gone.signal,
       });
     }
@@ -188,7 +195,7 @@
           classification,
           statements: batch.executes,
           arrivedAt,
-          sink: frames => this.#forward(filter.filter(Buffer.from(frames))),
+          sink: frames => this.#output.pass(filter.filter(Buffer.from(frames))),
           signal: this.#gone.signal,
         });
       }
@@ -268,23 +275,8 @@
     return false;
   }
 
-  /** Passes answer frames on, waiting while the caller reads slowly. */
-  async #forward(frames: Uint8Array): Promise<void> {
-    const {socket} = this.#channel;
-    if (socket.destroyed || socket.write(frames)) return;
-    await new Promise<void>(resolve => {
-      const done = () => {
-        socket.off('drain', done);
-        socket.off('close', done);
-        resolve();
-      };
-      socket.on('drain', done);
-      socket.on('close', done);
-    });
-  }
-
   #write(message: Uint8Array): void {
-    if (!this.#channel.socket.destroyed) this.#channel.socket.write(message);
+    this.#output.add(message);
   }
 
   #writeError(fields: ErrorFields): void {
--- a/src/home/answers.ts
+++ b/src/home/answers.ts
@@ -5,6 +5,8 @@
 import type {PartSink} from './types.js';
 
 const COMMAND_COMPLETE = 0x43;
+/** Answers up to this size are sent in one piece, once they may count. */
+const STREAM_FROM_BYTES = 16_384;
 const ERROR_RESPONSE = 0x45;
 /**
  * What a database answers that is not, or is no longer, primary. As an error
@@ -17,14 +19,16 @@
 );
 
 /**
- * Passes an answer on but keeps everything from the first CommandComplete
- * back, until it is certain that the answer may count.
+ * Keeps a small answer back until it is certain that it may count. Of a larger
+ * one the rows are passed on, and what follows from the first CommandComplete
+ * is kept back.
  */
 class CompletionHold {
   readonly #sink: PartSink;
-  readonly #held: Uint8Array[] = [];
+  #held: Uint8Array[] = [];
+  #heldBytes = 0;
   #forwarded = false;
-  #holding = false;
+  #completed = false;
 
   constructor(sink: PartSink) {
     this.#sink = sink;
@@ -36,22 +40,31 @@
   }
 
   async pass(frames: Uint8Array): Promise<void> {
-    if (this.#holding) return void this.#held.push(frames);
+    if (this.#completed) return this.#keep(frames);
     const cut = findFrame(frames, type => type === COMMAND_COMPLETE);
-    if (cut === -1) return this.#forward(frames);
-    this.#holding = true;
-    this.#held.push(frames.subarray(cut));
-    if (cut > 0) await this.#forward(frames.subarray(0, cut));
+    this.#completed = cut !== -1;
+    const rows = cut === -1 ? frames : frames.subarray(0, cut);
+    if (rows.length > 0) this.#keep(rows);
+    if (this.#heldBytes > STREAM_FROM_BYTES) await this.flush();
+    if (cut !== -1) this.#keep(frames.subarray(cut));
   }
 
-  /** Hands on what was kept back. */
+  /** Hands on what was kept back, as one part. */
   async flush(): Promise<void> {
-    for (const frames of this.#held.splice(0)) await this.#forward(frames);
+    const held = this.#held;
+    if (held.length === 0) return;
+    this.#held = [];
+    this.#heldBytes = 0;
+    this.#forwarded = true;
+    const [only] = held;
+    await this.#sink(
+      held.length === 1 && only !== undefined ? only : Buffer.concat(held),
+    );
   }
 
-  #forward(frames: Uint8Array): void | Promise<void> {
-    this.#forwarded = true;
-    return this.#sink(frames);
+  #keep(frames: Uint8Array): void {
+    this.#held.push(frames);
+    this.#heldBytes += frames.length;
   }
 }
 
