--- a/src/membership/coordination.ts
+++ b/src/membership/coordination.ts
@@ -11,7 +11,7 @@
 import {isWatcher, StoreWatcher} from '../rollout/store-watcher.js';
 import {Exchange} from './exchange.js';
 import {ContactSection, HeardSection, VmsSection} from './exchange-sections.js';
-import {isVmRecord} from './member.js';
+import {isVmRecord, type Member} from './member.js';
 import {Members} from './members.js';
 import {Prober} from './prober.js';
 import {StandingMonitor} from './standing.js';
@@ -51,6 +51,8 @@
   readonly #prober: Prober;
   readonly #watcher: StoreWatcher;
   readonly #stopped = new AbortController();
+  #watcherAmong: readonly Member[] | undefined;
+  #isWatcher = false;
   #tasks: Promise<unknown> = Promise.resolve();
 
   constructor(options: CoordinationOptions) {
@@ -91,8 +93,13 @@
 
   /** Whether this node is one of those that watch the store. */
   get isWatcher(): boolean {
-    const {self, watchersPerDataCentre} = this.#options;
-    return isWatcher(self.id, this.members.live(), watchersPerDataCentre);
+    const live = this.members.live();
+    if (this.#watcherAmong !== live) {
+      const {self, watchersPerDataCentre} = this.#options;
+      this.#watcherAmong = live;
+      this.#isWatcher = isWatcher(self.id, live, watchersPerDataCentre);
+    }
+    return this.#isWatcher;
   }
 
   /** Starts this node's tasks. */
--- a/src/membership/exchange-sections.ts
+++ b/src/membership/exchange-sections.ts
@@ -16,9 +16,15 @@
 /** Gain that makes a younger proof worth a message of its own. */
 const WORTHWHILE_GAIN_MS = 300;
 
-/** Age of the proof from which nodes exchange all that they heard. */
+/** Age of the proof from which a node asks what the other has heard. */
 const HEARD_WANTED_AGE_MS = 1_500;
 
+/** Share of the VMs that a node wants to have heard lately. */
+const HEARD_WANTED_SHARE = 0.9;
+
+/** How recent "lately" is. */
+const HEARD_WITHIN_MS = 3_000;
+
 /** Exchanges the age of the last proof of contact with the store. */
 export class ContactSection implements ExchangeSection {
   readonly name = 'store';
@@ -71,8 +77,7 @@
 
   compare(): Comparison {
     const give = this.provide();
-    const wanted = this.#contact.ageMs() > HEARD_WANTED_AGE_MS;
-    return wanted ? {give, want: true} : {give};
+    return this.#wantsMore() ? {give, want: true} : {give};
   }
 
   provide(): unknown {
@@ -87,6 +92,13 @@
     const heard = {listRevision, ages} as HeardAges;
     this.#members.heard.acceptAges(heard, elapsedMs);
   }
+
+  #wantsMore(): boolean {
+    if (this.#contact.ageMs() > HEARD_WANTED_AGE_MS) return true;
+    const {heard} = this.#members;
+    const wanted = HEARD_WANTED_SHARE * heard.listedCount;
+    return heard.countWithin(HEARD_WITHIN_MS) < wanted;
+  }
 }
 
 interface VmsContent {
--- a/src/membership/member-changes.ts
+++ b/src/membership/member-changes.ts
@@ -31,6 +31,11 @@
     this.#changes.set(id, {sinceMs: this.#clock.now(), sent: 0});
   }
 
+  /** Forgets a change that others know without being told. */
+  forget(id: string): void {
+    this.#changes.delete(id);
+  }
+
   /** The changes for the next message, least often sent first. */
   take(fleetSize: number, maySend: (id: string) => boolean): readonly string[] {
     const limit = SENDS_PER_DOUBLING * Math.ceil(Math.log2(fleetSize + 1));
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -15,7 +15,8 @@
 }
 
 /** A VM of the system. */
-export interface Member extends MemberIdentity, Omit<VmRecord, 'state'> {
+export interface Member extends Omit<VmRecord, 'state'> {
+  readonly status: MemberStatus;
   /** Whether the platform's list contains it. */
   readonly listed: boolean;
 }
--- a/src/membership/members.ts
+++ b/src/membership/members.ts
@@ -74,6 +74,11 @@
     return this.#vms.get(this.selfId)!.identity;
   }
 
+  /** How a VM last described itself, or others did. */
+  identityOf(id: string): MemberIdentity | undefined {
+    return this.#vms.get(id)?.identity;
+  }
+
   /** When each VM was last known to run. */
   get heard(): HeardTable {
     return this.#heard;
@@ -135,6 +140,8 @@
       if (!ids.has(id) && vm.listing === 'listed') vm.listing = 'removed';
     }
     this.#heard.setListed([...ids], revision);
+    const unchanged = this.selfIdentity.incarnation === 0;
+    if (ids.has(this.selfId) && unchanged) this.#changes.forget(this.selfId);
     this.#notify();
   }
 
@@ -243,9 +250,14 @@
   }
 
   #set(vm: KnownVm, identity: MemberIdentity): void {
-    if (identity.status !== vm.identity.status) vm.statusForMs = 0;
+    const {incarnation, status} = vm.identity;
     vm.identity = identity;
-    this.#changes.note(vm.record.id);
+    const changed = identity.status !== status;
+    // That a listed VM runs for the first time is no news to anyone.
+    const isNews = incarnation >= 0 || vm.listing === 'unlisted';
+    if (changed || isNews) this.#changes.note(vm.record.id);
+    if (!changed) return this.#digest.clear();
+    vm.statusForMs = 0;
     this.#notify();
   }
 
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -117,7 +117,7 @@
   async #answers(vm: Member): Promise<boolean> {
     const {caller, clock} = this.#options;
     const start = takeInstant(clock);
-    const body = toProbeBody(vm);
+    const body = this.#opinionOf(vm);
     const limit = {timeoutMs: PROBE_TIMEOUT_MS};
     try {
       const to = toPeerAddress(vm);
@@ -151,7 +151,7 @@
       caller,
       toPeerAddress(vm),
       METHOD_PROBE,
-      toProbeBody(vm),
+      this.#opinionOf(vm),
       {timeoutMs: FRESH_PROBE_TIMEOUT_MS},
     );
     this.#accept(vm.id, answer, elapsedSince(clock, start));
@@ -217,10 +217,10 @@
     const relayMs = Math.ceil(elapsedSince(clock, start));
     return {...answer, relayMs};
   }
-}
 
-function toProbeBody(vm: Member): MemberIdentity | null {
-  if (vm.status === 'alive') return null;
-  const {instance, incarnation, status} = vm;
-  return {instance, incarnation, status};
+  /** What this node thinks of a VM, for it to refute; null if it is alive. */
+  #opinionOf({id}: Member): MemberIdentity | null {
+    const identity = this.#options.members.identityOf(id);
+    return identity?.status === 'alive' ? null : (identity ?? null);
+  }
 }
--- a/src/peers/pending-call.ts
+++ b/src/peers/pending-call.ts
@@ -7,6 +7,9 @@
 /** Bytes of consumed parts after which the caller grants new credit. */
 const CREDIT_GRANT_BYTES = 64 * 1024;
 
+/** Reason of an abort that nobody reads; spares making an error each time. */
+const FINISHED = 'call has ended';
+
 /** Sends a message to the server of the call. */
 export type SendMessage = (message: PeerMessage) => void;
 
@@ -91,6 +94,6 @@
 
   #finish(): void {
     this.#options.signal?.removeEventListener('abort', this.#abort);
-    this.#finished.abort();
+    this.#finished.abort(FINISHED);
   }
 }
--- a/src/rollout/store-watcher.ts
+++ b/src/rollout/store-watcher.ts
@@ -7,7 +7,10 @@
 import {StoreError, type Store, type WatchItem} from '../platform/store.js';
 import {DOCUMENT_NAMES, type Documents} from './documents.js';
 
-/** How often a node looks whether it is to watch, and whether it was paused. */
+/** How often a node that does not watch looks whether it is to. */
+const ROLE_CHECK_MS = 500;
+
+/** How often a watching node looks after its watches. */
 const TICK_MS = 100;
 
 /** A tick that is late by this much means that the process was paused. */
@@ -94,7 +97,7 @@
     let failures = 0;
     while (!signal.aborted) {
       if (!shouldWatch()) {
-        await clock.sleep(TICK_MS, signal);
+        await clock.sleep(ROLE_CHECK_MS, signal);
         continue;
       }
       try {
