--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -46,6 +46,8 @@
 /** How long a starting node waits for its first configuration. */
 const CONFIG_WAIT_MS = 5_000;
 const CONFIG_POLL_MS = 20;
+/** How long the store may say nothing before the seeds are asked. */
+const SEED_AFTER_MS = 1_000;
 
 /** The ports of a running node. */
 export interface NodePorts {
@@ -151,13 +153,41 @@
     const until = this.#clock.now() + CONFIG_WAIT_MS;
     const isMissing = () =>
       this.#config.document.version === 0 || this.#config.groups.length === 0;
+    const seedAt = this.#clock.now() + SEED_AFTER_MS;
+    let seeded = false;
     while (isMissing() && this.#clock.now() < until) {
       await this.#clock.sleep(CONFIG_POLL_MS);
+      if (seeded || !isMissing() || this.#clock.now() < seedAt) continue;
+      seeded = true;
+      this.#introduceSeeds();
     }
     if (isMissing())
       this.#log.warn('configMissing', {waitedMs: CONFIG_WAIT_MS});
   }
 
+  /** The store says nothing: learn from the peers that the settings name. */
+  #introduceSeeds(): void {
+    const {seeds, vm} = this.#settings;
+    const others = seeds.filter(({id}) => id !== vm);
+    this.#log.warn('askingSeeds', {seeds: others.length});
+    for (const {id, host, port} of others) {
+      this.#coordination.members.applyDelta({
+        id,
+        instance: '',
+        incarnation: 0,
+        status: 'alive',
+        record: {
+          id,
+          host,
+          peerPort: port,
+          adminPort: 0,
+          dataCentre: '',
+          state: 'live',
+        },
+      });
+    }
+  }
+
   #createPeers(): PeerPool {
     const {vm, peerSecret} = this.#settings;
     return new PeerPool({self: vm, clock: this.#clock, peerSecret});
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -1,5 +1,6 @@
 /** The node's settings: flags and `ZINNIA_*` variables, checked once. */
 import {z} from 'zod';
+import type {PeerAddress} from '../peers/types.js';
 
 /** How one setting is named and described. */
 export interface SettingInfo {
@@ -46,9 +47,9 @@
     text: "URL of the platform's key-value service.",
   },
   seeds: {
-    check: z.string().transform(splitList),
+    check: z.string().transform(readSeeds),
     fallback: '',
-    text: 'Peers to ask when the store is out at start-up: host:port, separated by commas.',
+    text: 'Peers to ask when the store is out at start-up: vm@host:port, separated by commas.',
   },
   targetUser: {
     check: z.string().min(1),
@@ -198,9 +199,16 @@
   return name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
 }
 
-function splitList(text: string): readonly string[] {
-  return text
-    .split(',')
-    .map(item => item.trim())
-    .filter(item => item !== '');
+/** Reads `vm@host:port,...`. */
+function readSeeds(text: string, ctx: z.RefinementCtx): readonly PeerAddress[] {
+  const items = text.split(',').filter(item => item.trim() !== '');
+  return items.flatMap(item => {
+    const match = /^([^@]+)@([^@]+):(\d{1,5})$/.exec(item.trim());
+    if (match === null) {
+      ctx.addIssue({code: 'custom', message: `"${item}" is not vm@host:port`});
+      return [];
+    }
+    const [, id = '', host = '', peerPort = ''] = match;
+    return [{id, host, port: Number(peerPort)}];
+  });
 }
