--- a/standins/database/replication-follower.ts
+++ b/standins/database/replication-follower.ts
@@ -52,12 +52,14 @@
 
   stop(): void {
     this.#stop.abort();
+    this.#member.changed.notify();
   }
 
   async #lookAt(peer: PeerAddress): Promise<void> {
     while (!this.#stop.signal.aborted) {
-      const settled = this.#hasPrimary();
-      await this.#pause(settled ? LOOK_INTERVAL_MS : SEARCH_INTERVAL_MS);
+      await this.#pauseLooking();
+      // Pulls already tell whether the primary followed is still one.
+      if (this.#hasPrimary() && this.#upstream?.peer === peer) continue;
       const state = await this.#peers.get<PeerState>(peer, STATE_PATH);
       await this.#gate.pass();
       if (state?.role === 'primary') this.#consider(peer, state);
@@ -76,6 +78,17 @@
     if (replaced) this.#peers.abort();
   }
 
+  /** Waits for the next look; a fence that ends the primary's term cuts in. */
+  async #pauseLooking(): Promise<void> {
+    const endMs = performance.now() + LOOK_INTERVAL_MS;
+    while (this.#hasPrimary() && !this.#stop.signal.aborted) {
+      const remainingMs = endMs - performance.now();
+      if (remainingMs <= 0) return await this.#gate.pass();
+      await this.#member.changed.wait(remainingMs);
+    }
+    await this.#pause(SEARCH_INTERVAL_MS);
+  }
+
   #hasPrimary(): boolean {
     const {role, fencedTerm} = this.#member;
     if (role === 'primary') return true;
