--- a/src/admission/retirement-watch.ts
+++ b/src/admission/retirement-watch.ts
@@ -35,9 +35,8 @@
     const {guard, peers, standing} = this.#deps;
     if (standing.standing() !== 'current') return this.#goneSinceMs.clear();
     const {nowMs} = guard;
-    const live = new Set(peers.live().map(({instance}) => instance));
     const gone = [...dependsOn].filter(
-      instance => !live.has(instance) && !guard.isRetired(instance),
+      instance => peers.isGone(instance) && !guard.isRetired(instance),
     );
     this.#goneSinceMs = new Map(
       gone.map(one => [one, this.#goneSinceMs.get(one) ?? nowMs]),
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -54,6 +54,11 @@
   ): Promise<BudgetReply>;
   /** The nodes believed live. */
   live(): readonly NodeRef[];
+  /**
+   * Whether an instance is known to have ended: its VM is dead, or runs
+   * another one. Not hearing of an instance is no proof.
+   */
+  isGone(instance: string): boolean;
   /** The live nodes by rendezvous hashing over `key`, first choice first. */
   homeOrder(key: string): readonly NodeRef[];
 }
--- a/src/membership/known-vm.ts
+++ b/src/membership/known-vm.ts
@@ -43,7 +43,8 @@
   const dismissed = state === 'leaving' || listing === 'removed';
   const status =
     dismissed && identity.status !== 'dead' ? 'leaving' : identity.status;
-  return {...place, status, listed: listing === 'listed'};
+  const {instance} = identity;
+  return {...place, instance, status, listed: listing === 'listed'};
 }
 
 /** What other nodes are told of a VM. */
--- a/src/membership/members.ts
+++ b/src/membership/members.ts
@@ -250,14 +250,15 @@
   }
 
   #set(vm: KnownVm, identity: MemberIdentity): void {
-    const {incarnation, status} = vm.identity;
+    const {incarnation, instance, status} = vm.identity;
     vm.identity = identity;
     const changed = identity.status !== status;
+    const restarted = identity.instance !== instance;
     // That a listed VM runs for the first time is no news to anyone.
     const isNews = incarnation >= 0 || vm.listing === 'unlisted';
     if (changed || isNews) this.#changes.note(vm.record.id);
-    if (!changed) return this.#digest.clear();
-    vm.statusForMs = 0;
+    if (!changed && !restarted) return this.#digest.clear();
+    if (changed) vm.statusForMs = 0;
     this.#notify();
   }
 
--- a/src/node/admin-routes.ts
+++ b/src/node/admin-routes.ts
@@ -1,5 +1,4 @@
 /** What a node tells operators, and what they can order from it. */
-import type {BudgetService} from '../admission/budget-service.js';
 import type {HomeService} from '../home/home-service.js';
 import {HOME_METHODS} from '../home/messages.js';
 import {addressOf} from '../home/home-router.js';
@@ -8,6 +7,7 @@
 import type {StatementMetrics} from '../telemetry/metrics.js';
 import type {AdminAnswer, AdminRequest, AdminRoute} from './admin-server.js';
 import type {LiveConfig} from './live-config.js';
+import type {RenewableBudgets} from './renewable-budgets.js';
 
 const SWITCH_TIMEOUT_MS = 10_000;
 
@@ -16,7 +16,7 @@
   readonly vm: string;
   readonly coordination: Coordination;
   readonly config: LiveConfig;
-  readonly budgets: BudgetService;
+  readonly budgets: Pick<RenewableBudgets, 'status'>;
   readonly homes: HomeService;
   readonly peers: PeerCaller;
   readonly metrics: StatementMetrics;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -2,8 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {readFileSync} from 'node:fs';
 import {createSecureContext, type SecureContext} from 'node:tls';
-import {BudgetService} from '../admission/budget-service.js';
-import type {BudgetMessage} from '../admission/types.js';
+import type {BudgetDeps, BudgetMessage} from '../admission/types.js';
 import {CallerServer} from '../callers/caller-server.js';
 import {vmHash, vmHashOf} from '../callers/cancel-keys.js';
 import type {CancelKey} from '../callers/startup.js';
@@ -36,7 +35,13 @@
 import {AdminServer} from './admin-server.js';
 import {retireInstance} from './instance-retirement.js';
 import {LiveConfig} from './live-config.js';
-import {BUDGET_METHOD, MemberBudgetPeers, PeerEvidence} from './peer-ports.js';
+import {
+  BUDGET_METHOD,
+  budgetInstance,
+  MemberBudgetPeers,
+  PeerEvidence,
+} from './peer-ports.js';
+import {RenewableBudgets} from './renewable-budgets.js';
 import type {NodeSettings} from './settings.js';
 
 const TARGET_CONNECT_TIMEOUT_MS = 1_000;
@@ -69,7 +74,7 @@
   readonly #coordination: Coordination;
   readonly #config: LiveConfig;
   readonly #access: ConfiguredAccess;
-  readonly #budgets: BudgetService;
+  readonly #budgets: RenewableBudgets;
   readonly #homes: HomeService;
   readonly #metrics: StatementMetrics;
   readonly #callers: CallerServer;
@@ -93,6 +98,7 @@
     this.#callers = this.#createCallers();
     this.#admin = this.#createAdmin();
     this.#peerServer = this.#createPeerServer();
+    this.#config.onChange(() => this.#budgets.renewIfRetired());
     this.#config.onChange(() =>
       this.#callers.closeRevoked(authority => {
         const refusal = this.#access.recheck(authority);
@@ -217,15 +223,16 @@
     });
   }
 
-  #createBudgets(): BudgetService {
+  #createBudgets(): RenewableBudgets {
+    const {vm} = this.#settings;
     const {members, standing} = this.#coordination;
     const editor = new ConfigEditor({
       store: this.#store,
       clock: this.#clock,
       random: this.#random,
     });
-    return new BudgetService({
-      self: {vm: this.#settings.vm, instance: this.#instance},
+    const deps: BudgetDeps = {
+      self: {vm, instance: budgetInstance(vm, this.#instance)},
       clock: this.#clock,
       random: this.#random,
       store: this.#store,
@@ -234,10 +241,11 @@
       config: {
         limits: team => teamRow(this.#config.document.table, team),
         retired: () => this.#config.retired,
-        retire: instance => retireInstance(editor, this.#settings.vm, instance),
+        retire: instance => retireInstance(editor, vm, instance),
       },
       options: {standingLimitMs: this.#settings.standingLimitMs},
-    });
+    };
+    return new RenewableBudgets({deps, log: this.#log});
   }
 
   #createHomes(): HomeService {
--- a/src/node/peer-ports.ts
+++ b/src/node/peer-ports.ts
@@ -15,10 +15,14 @@
 /** The peer method of the budgets. */
 export const BUDGET_METHOD = 'budget';
 const EVIDENCE_TIMEOUT_MS = 600;
+const INSTANCE_SEPARATOR = '/';
 /** Other nodes asked whether they reach a database. */
 const WITNESSES = 2;
 
-/** Calls the budgets of other nodes. */
+/**
+ * Calls the budgets of other nodes. A budget's instance is named by its VM and
+ * the process on it, so that it can be found and its end be recognised.
+ */
 export class MemberBudgetPeers implements BudgetPeers {
   readonly #members: Members;
   readonly #caller: PeerCaller;
@@ -29,15 +33,13 @@
   }
 
   async call(
-    instanceOrVm: string,
+    instance: string,
     message: BudgetMessage,
     timeoutMs: number,
   ): Promise<BudgetReply> {
-    const member = this.#members
-      .all()
-      .find(one => one.instance === instanceOrVm || one.id === instanceOrVm);
+    const member = this.#members.find(vmOf(instance));
     if (member === undefined) {
-      throw new Error(`no VM runs instance ${instanceOrVm}`);
+      throw new Error(`no VM runs instance ${instance}`);
     }
     const options = {timeoutMs};
     const address = addressOf(member);
@@ -46,14 +48,37 @@
   }
 
   live(): readonly NodeRef[] {
-    return this.#members.live().map(refOf);
+    return this.#members.live().flatMap(refsOf);
+  }
+
+  isGone(instance: string): boolean {
+    const member = this.#members.find(vmOf(instance));
+    if (member === undefined || member.status === 'dead') return true;
+    if (member.instance === '') return false;
+    const running = budgetInstance(member.id, member.instance);
+    return instance !== running && !instance.startsWith(`${running}.`);
   }
 
   homeOrder(key: string): readonly NodeRef[] {
-    return this.#members.homeOrder(key).map(refOf);
+    return this.#members.homeOrder(key).flatMap(refsOf);
   }
 }
 
+/** Names the budgets of one process on one VM. */
+export function budgetInstance(vm: string, instance: string): string {
+  return `${vm}${INSTANCE_SEPARATOR}${instance}`;
+}
+
+function vmOf(instance: string): string {
+  return instance.slice(0, instance.lastIndexOf(INSTANCE_SEPARATOR));
+}
+
+/** Nothing, as long as the process on the VM is not known. */
+function refsOf({id, instance}: Member): readonly NodeRef[] {
+  if (instance === '') return [];
+  return [{vm: id, instance: budgetInstance(id, instance)}];
+}
+
 /** Asks nodes of other data centres what they reach. */
 export class PeerEvidence implements EvidencePort {
   readonly #members: Members;
@@ -95,7 +120,3 @@
     return [...far, ...others.filter(isNear)].slice(0, WITNESSES);
   }
 }
-
-function refOf({id, instance}: Member): NodeRef {
-  return {vm: id, instance};
-}
--- a/test/admission/cluster.ts
+++ b/test/admission/cluster.ts
@@ -128,6 +128,8 @@
         call: (to, message, timeoutMs) =>
           this.#call(node, to, message, timeoutMs),
         live: () => this.#live(),
+        isGone: instance =>
+          !this.#live().some(node => node.instance === instance),
         homeOrder: key => rendezvousOrder(key, this.#live()),
       },
       options: {standingLimitMs: STANDING_LIMIT_MS},
