--- a/src/groups/evidence.ts
+++ b/src/groups/evidence.ts
@@ -129,15 +129,10 @@
   );
 }
 
-/** A fenced replica hears nothing because it may not, so it doesn't count. */
-function isIsolated({databases, primaryId, term}: GroupView): boolean {
+function isIsolated({databases, primaryId}: GroupView): boolean {
   const replicas = databases.filter(({spec}) => spec.id !== primaryId);
   const silent = replicas
     .filter(isFresh)
-    .filter(
-      ({status}) =>
-        status.fencedTerm <= term &&
-        status.upstreamSilentMs > UPSTREAM_SILENT_MS,
-    );
+    .filter(({status}) => status.upstreamSilentMs > UPSTREAM_SILENT_MS);
   return replicas.length > 0 && silent.length >= majorityOf(replicas.length);
 }
--- a/src/groups/failover-agent.ts
+++ b/src/groups/failover-agent.ts
@@ -7,6 +7,7 @@
   type Need,
 } from './evidence.js';
 import {orderFailover, type FailoverResult} from './failover.js';
+import {highestTerm} from './group-view.js';
 import type {GroupMonitor} from './monitor.js';
 import type {DatabaseRank} from './promotion.js';
 import type {DatabaseControl} from './types.js';
@@ -108,13 +109,13 @@
     const {clock, random, monitor, controls, rank} = this.#options;
     const {signal} = this.#stopping;
     await clock.sleep(random.next() * ORDER_JITTER_MS, signal);
-    await monitor.refreshNow();
+    const seenTerm = highestTerm(await monitor.refreshNow());
     const need = await this.#assess();
     if (need.kind !== 'needed' || need.cause !== cause) return undefined;
     if (signal.aborted || this.#held) return undefined;
     const orderer = this.nextOrderer();
     const {suspectId} = need;
-    const order = {clock, controls, orderer, suspectId, rank};
+    const order = {clock, controls, orderer, suspectId, seenTerm, rank};
     const result = await orderFailover(order);
     this.#options.onEvent?.({kind: 'ordered', cause, result});
     await monitor.refreshNow();
--- a/src/groups/failover.ts
+++ b/src/groups/failover.ts
@@ -45,6 +45,11 @@
   readonly orderer: string;
   /** The primary to pass over where the others are enough. */
   readonly suspectId?: string | undefined;
+  /**
+   * The highest term that was known when the failover was found needed. A
+   * higher one by now means that another orderer has been here.
+   */
+  readonly seenTerm?: number | undefined;
   readonly rank?: DatabaseRank | undefined;
   readonly timeoutMs?: number | undefined;
 }
@@ -69,6 +74,9 @@
     return failed('look', `only ${statuses.length} databases answer`);
   }
   const term = nextTerm(statuses);
+  if (term - 1 > (order.seenTerm ?? Infinity)) {
+    return outbid('look', `another orderer has begun term ${term - 1}`);
+  }
 
   const fencing = {clock, controls, term, orderer, timeoutMs};
   const fenced = await fenceMajority(fencing);
--- a/src/groups/group-view.ts
+++ b/src/groups/group-view.ts
@@ -51,6 +51,14 @@
   return Math.floor(count / 2) + 1;
 }
 
+/** The highest term that a database of the view follows or was fenced at. */
+export function highestTerm(view: GroupView): number {
+  const terms = view.databases.flatMap(({status}) =>
+    status === undefined ? [] : [status.term, status.fencedTerm],
+  );
+  return Math.max(0, ...terms);
+}
+
 function leads(status: DatabaseStatus, term: number): boolean {
   if (status.role !== 'primary') return false;
   return status.term === term && status.fencedTerm <= term;
--- a/test/groups/acknowledgement.test.ts
+++ b/test/groups/acknowledgement.test.ts
@@ -172,4 +172,23 @@
     expect(await settled(second, 500)).toBeUndefined();
     expect(await first).toEqual({kind: 'acknowledged'});
   });
+
+  test('takes no word of a newer term for a write of an older one', async () => {
+    // The first question is lost, so that the next covers both writes.
+    group.links.cut(['db-1', 'vm-1'], ['db-2', 'db-3']);
+    const old = write('old', 'replica', 2_000);
+    await time.advance(10);
+    fence(['db-2', 'db-3'], 2);
+    group.database('db-2').promote(2, 'vm-2/1');
+    group.links.mend(['vm-1'], ['db-2', 'db-3']);
+    const position = await group.commit('vm-1', clock, 'db-2', 'new');
+    const next = tracker.acknowledge({
+      primaryId: 'db-2',
+      position,
+      ack: 'replica',
+      timeoutMs: 2_000,
+    });
+    expect(await settled(next, 1_000)).toEqual({kind: 'acknowledged'});
+    expect(await settled(old, 1_000)).toEqual({kind: 'superseded', term: 2});
+  });
 });
--- /dev/null
+++ b/test/groups/schedule.ts
@@ -0,0 +1,262 @@
+/** Runs schedules of faults against nodes over a fake group. */
+import type {AckResult} from '../../src/groups/acknowledgement.js';
+import type {AckMode} from '../../src/groups/confirm-lane.js';
+import {laterPosition, START_POSITION} from '../../src/session/position.js';
+import type {Position} from '../../src/session/position.js';
+import {FakeGroup} from '../fakes/fake-group.js';
+import {VirtualClock} from '../fakes/virtual-clock.js';
+import {startNodes, type FakeNode, type FakeWrite} from './fake-node.js';
+
+/** One thing that happens in a schedule. */
+export type Action =
+  /** Cuts all links between these ends and the others, and no other link. */
+  | {readonly kind: 'isolate'; readonly ends: readonly string[]}
+  | {readonly kind: 'mend'}
+  | {readonly kind: 'freeze'; readonly database: string}
+  | {readonly kind: 'resume'; readonly database: string}
+  | {readonly kind: 'crash'; readonly database: string}
+  | {readonly kind: 'restart'; readonly database: string}
+  | {
+      readonly kind: 'lag';
+      readonly database: string;
+      readonly ms: number;
+    }
+  | {readonly kind: 'pauseNode'; readonly node: string}
+  | {readonly kind: 'resumeNode'; readonly node: string}
+  | {
+      readonly kind: 'slowLink';
+      readonly node: string;
+      readonly database: string;
+      readonly ms: number;
+    }
+  | {
+      readonly kind: 'loseAnswers';
+      readonly node: string;
+      readonly database: string;
+      readonly count: number;
+    }
+  | {
+      readonly kind: 'duplicate';
+      readonly node: string;
+      readonly database: string;
+      readonly afterMs: number;
+    }
+  | {
+      readonly kind: 'write';
+      readonly node: string;
+      readonly session: string;
+      readonly ack: AckMode;
+    }
+  | {
+      readonly kind: 'read';
+      readonly node: string;
+      readonly session: string;
+      readonly staleMs: number;
+    };
+
+/** An action after a pause. */
+export interface Step {
+  readonly waitMs: number;
+  readonly action: Action;
+}
+
+interface Session {
+  needed: Position;
+  readonly acknowledged: string[];
+}
+
+/** The ends of the links: three nodes and three databases. */
+export const NODE_IDS: readonly string[] = ['vm-1', 'vm-2', 'vm-3'];
+export const DATABASE_IDS: readonly string[] = ['db-1', 'db-2', 'db-3'];
+const ENDS = [...NODE_IDS, ...DATABASE_IDS];
+
+const RECOVERY_MS = 15_000;
+
+/** A schedule under way, and what it found wrong. */
+export class ScheduleRun {
+  readonly time = new VirtualClock(1);
+  readonly group = new FakeGroup(this.time);
+  readonly nodes: readonly FakeNode[];
+  readonly writes: FakeWrite[] = [];
+  readonly faults: string[] = [];
+  /** What became of each write, by its id: w1, w2 and so on. */
+  readonly outcomes: Record<string, AckResult['kind'] | 'refused'> = {};
+  /** Where each read ran, in the order of the answers. */
+  readonly reads: ('replica' | 'primary' | 'refused')[] = [];
+  readonly #sessions = new Map<string, Session>();
+  /** Acknowledged with ack=primary, so that a failover may lose them. */
+  readonly #primaryOnly = new Set<string>();
+  #ids = 0;
+  #retries = 0;
+
+  constructor(seed: number) {
+    this.nodes = startNodes(this.group, this.time, NODE_IDS.length, seed);
+  }
+
+  /** Runs the steps, mends everything and checks what must hold. */
+  async run(steps: readonly Step[]): Promise<readonly string[]> {
+    await this.time.advance(500);
+    for (const {waitMs, action} of steps) {
+      await this.time.advance(waitMs);
+      this.#act(action);
+    }
+    await this.time.advance(1_500);
+    await this.#recover();
+    this.#checkPrimaries();
+    this.#checkWrites();
+    for (const node of this.nodes) node.stop();
+    return this.faults;
+  }
+
+  #act(action: Action): void {
+    const {group} = this;
+    switch (action.kind) {
+      case 'isolate': {
+        const others = ENDS.filter(end => !action.ends.includes(end));
+        group.links.mend(ENDS, ENDS);
+        return group.links.cut(action.ends, others);
+      }
+      case 'mend':
+        return group.links.mend(ENDS, ENDS);
+      case 'freeze':
+        return group.database(action.database).freeze();
+      case 'resume':
+        return group.database(action.database).resume();
+      case 'crash':
+        return group.database(action.database).crash();
+      case 'restart':
+        return group.database(action.database).restart();
+      case 'lag':
+        group.database(action.database).applyLagMs = action.ms;
+        return;
+      case 'pauseNode':
+        return this.#node(action.node).clock.pause();
+      case 'resumeNode':
+        return this.#node(action.node).clock.resume();
+      case 'slowLink':
+        this.#link(action).delayMs = action.ms;
+        return;
+      case 'loseAnswers':
+        this.#link(action).answersToLose = action.count;
+        return;
+      case 'duplicate':
+        this.#link(action).duplicateAfterMs = action.afterMs;
+        return;
+      case 'write':
+        void this.#write(this.#node(action.node), action.session, action.ack);
+        return;
+      case 'read':
+        void this.#read(
+          this.#node(action.node),
+          action.session,
+          action.staleMs,
+        );
+        return;
+    }
+  }
+
+  #link({node, database}: {node: string; database: string}) {
+    return this.group.links.between(node, database);
+  }
+
+  #node(id: string): FakeNode {
+    const node = this.nodes.find(other => other.id === id);
+    if (node === undefined) throw new Error(`no node ${id}`);
+    return node;
+  }
+
+  #session(id: string): Session {
+    let session = this.#sessions.get(id);
+    if (session === undefined) {
+      session = {needed: START_POSITION, acknowledged: []};
+      this.#sessions.set(id, session);
+    }
+    return session;
+  }
+
+  async #write(node: FakeNode, sessionId: string, ack: AckMode) {
+    if (node.clock.paused) return;
+    this.#ids += 1;
+    const id = `w${this.#ids}`;
+    const write = await node.write(id, ack);
+    this.outcomes[id] = write?.result.kind ?? 'refused';
+    if (write === undefined) return;
+    this.writes.push(write);
+    if (write.result.kind !== 'acknowledged') return;
+    const session = this.#session(sessionId);
+    session.needed = laterPosition(session.needed, write.position);
+    if (ack === 'replica') session.acknowledged.push(write.id);
+    else this.#primaryOnly.add(write.id);
+  }
+
+  async #read(node: FakeNode, sessionId: string, staleMs: number) {
+    if (node.clock.paused) return;
+    const session = this.#session(sessionId);
+    const expected = [...session.acknowledged];
+    const read = await node.read(sessionId, session.needed, staleMs);
+    this.reads.push(read?.kind ?? 'refused');
+    if (read === undefined) return;
+    for (const id of expected) {
+      if (read.writes.has(id)) continue;
+      this.faults.push(`a read at ${read.databaseId} missed ${id}`);
+    }
+  }
+
+  async #recover(): Promise<void> {
+    this.group.links.reset();
+    for (const database of this.group.databases) {
+      database.resume();
+      database.restart();
+    }
+    for (const {clock} of this.nodes) if (clock.paused) clock.resume();
+    let recovered = false;
+    const tryOnce = async (node: FakeNode) => {
+      this.#retries += 1;
+      const write = await node.write(`r${this.#retries}`, 'replica');
+      if (write === undefined) return;
+      this.writes.push(write);
+      recovered ||= write.result.kind === 'acknowledged';
+    };
+    const endsAt = this.time.now() + RECOVERY_MS;
+    while (!recovered && this.time.now() < endsAt) {
+      void tryOnce(this.nodes[0]!);
+      await this.time.advance(250);
+    }
+    if (!recovered) this.faults.push('the group did not recover');
+    await this.time.advance(1_500);
+  }
+
+  #checkPrimaries(): void {
+    const leaders = new Map<number, string>();
+    for (const {spec, promotions} of this.group.databases) {
+      for (const {term} of promotions) {
+        const other = leaders.get(term);
+        if (other !== undefined) {
+          this.faults.push(`${other} and ${spec.id} both led term ${term}`);
+        }
+        leaders.set(term, spec.id);
+      }
+    }
+  }
+
+  #checkWrites(): void {
+    const kept = this.group.leader?.visibleWrites() ?? new Set();
+    const promotions = this.group.databases.flatMap(
+      database => database.promotions,
+    );
+    for (const {id, position, committedAt, result} of this.writes) {
+      if (result.kind !== 'acknowledged') continue;
+      if (!kept.has(id) && !this.#primaryOnly.has(id)) {
+        this.faults.push(`acknowledged ${id} was lost`);
+      }
+      const newer = promotions.find(
+        ({term, at}) => term > position.term && at < committedAt,
+      );
+      if (newer === undefined) continue;
+      this.faults.push(
+        `${id} of term ${position.term} was acknowledged though it was ` +
+          `committed after the promotion of term ${newer.term}`,
+      );
+    }
+  }
+}
--- /dev/null
+++ b/test/routing/read-router.test.ts
@@ -0,0 +1,112 @@
+import {beforeEach, describe, expect, test} from 'vitest';
+import {GroupMonitor} from '../../src/groups/monitor.js';
+import {isReadCurrent, ReadRouter} from '../../src/routing/read-router.js';
+import type {Position} from '../../src/session/position.js';
+import {FakeGroup} from '../fakes/fake-group.js';
+import {VirtualClock} from '../fakes/virtual-clock.js';
+
+let time: VirtualClock;
+let group: FakeGroup;
+let router: ReadRouter;
+
+beforeEach(async () => {
+  time = new VirtualClock();
+  group = new FakeGroup(time);
+  const clock = time.forNode({offsetMs: 9_000});
+  const controls = group.controlsFor('vm-1', clock);
+  const monitor = new GroupMonitor({clock, groupName: 'claims', controls});
+  router = new ReadRouter({
+    clock,
+    monitor,
+    dataCentre: 'dc-2',
+    outstandingOf: () => 0,
+  });
+  monitor.start();
+  await time.advance(1_000);
+});
+
+function choose(position: Position, staleMs = 2_000, maxWaitMs = 0) {
+  const weights = {old: 1, new: 0};
+  return router.choose({
+    sessionId: 's',
+    position,
+    staleMs,
+    weights,
+    maxWaitMs,
+  });
+}
+
+describe('read router', () => {
+  test('reads on a replica that the monitor knows to be current', () => {
+    expect(choose({term: 1, offset: 1})).toEqual({
+      kind: 'replica',
+      databaseId: 'db-2',
+    });
+  });
+
+  test('reads at the primary until a replica holds the write', async () => {
+    const write = group.database('db-1').commit('w');
+    expect(choose(write)).toEqual({kind: 'primary', databaseId: 'db-1'});
+    await time.advance(400);
+    expect(choose(write)).toMatchObject({kind: 'replica'});
+  });
+
+  test('learns positions from what runs, ahead of the monitor', () => {
+    const sentAt = time.now() + 9_000;
+    const write = group.database('db-1').commit('w');
+    router.notePosition('db-1', write, sentAt);
+    router.notePosition('db-2', write, sentAt);
+    expect(choose(write)).toMatchObject({kind: 'replica'});
+  });
+
+  test('waits for a replica that usually follows soon', async () => {
+    for (let i = 0; i < 5; i++) {
+      const sentAt = time.now() + 9_000;
+      router.notePosition('db-1', group.database('db-1').commit('w'), sentAt);
+      await time.advance(200);
+    }
+    const sentAt = time.now() + 9_000;
+    const write = group.database('db-1').commit('last');
+    router.notePosition('db-1', write, sentAt);
+    const choice = choose(write, 2_000, 250);
+    expect(choice).toMatchObject({kind: 'wait', databaseId: 'db-2'});
+    expect(choose(write, 2_000, 0)).toMatchObject({kind: 'primary'});
+  });
+
+  test('sends no session that saw a newer term to an old primary', () => {
+    expect(choose({term: 2, offset: 2})).toEqual({
+      kind: 'none',
+      reason: 'staleReplicas',
+    });
+    expect(choose({term: 2, offset: 2}, 0)).toEqual({
+      kind: 'none',
+      reason: 'noPrimary',
+    });
+  });
+
+  test('reads no data older than the limit, once cut off', async () => {
+    group.links.cut(['db-2', 'vm-1'], ['db-1', 'db-3']);
+    await time.advance(1_500);
+    expect(choose({term: 1, offset: 1})).toMatchObject({kind: 'replica'});
+    await time.advance(1_000);
+    expect(choose({term: 1, offset: 1})).toMatchObject({kind: 'primary'});
+  });
+});
+
+describe('isReadCurrent', () => {
+  const needed = {term: 2, offset: 5};
+
+  test.each([
+    [{term: 2, offset: 5}, true],
+    [{term: 3, offset: 1}, true],
+    [{term: 2, offset: 4}, false],
+    [{term: 1, offset: 9}, false],
+    [undefined, false],
+  ])('a read at %o is current: %s', (ran, current) => {
+    expect(isReadCurrent(ran, needed)).toBe(current);
+  });
+
+  test('asks for nothing when the session needs nothing', () => {
+    expect(isReadCurrent(undefined, undefined)).toBe(true);
+  });
+});
