--- a/src/groups/failover-agent.ts
+++ b/src/groups/failover-agent.ts
@@ -2,6 +2,7 @@
 import type {Clock, Random} from '../platform/clock.js';
 import {
   assessNeed,
+  suspect,
   type EvidencePort,
   type FailoverCause,
   type Need,
@@ -12,7 +13,9 @@
 import type {DatabaseRank} from './promotion.js';
 import type {DatabaseControl} from './types.js';
 
-const CHECK_PERIOD_MS = 100;
+const CHECK_PERIOD_MS = 50;
+/** How often other nodes are asked about a primary that they do reach. */
+const LINK_FAULT_PAUSE_MS = 500;
 /** Spreads the nodes that notice at once, so that mostly one orders. */
 const ORDER_JITTER_MS = 100;
 const FIRST_BACKOFF_MS = 100;
@@ -61,6 +64,8 @@
   readonly #stopping = new AbortController();
   #attempts = 0;
   #held = false;
+  /** When to ask other nodes again after they contradicted. */
+  #askOthersAt = -Infinity;
 
   constructor(options: FailoverAgentOptions) {
     this.#options = options;
@@ -129,7 +134,6 @@
     let cause: FailoverCause | undefined;
     for (;;) {
       const need = await this.#assess();
-      if (need.kind === 'linkFault') this.#options.onEvent?.(need);
       if (need.kind !== 'needed') return undefined;
       cause ??= need.cause;
       if (need.cause !== cause || this.#stopping.signal.aborted) {
@@ -140,9 +144,19 @@
     }
   }
 
-  #assess(): Promise<Need> {
-    const {monitor, evidence} = this.#options;
-    return assessNeed(monitor.current(), evidence);
+  async #assess(): Promise<Need> {
+    const {clock, monitor, evidence} = this.#options;
+    const view = monitor.current();
+    const suspicion = suspect(view);
+    const asksOthers =
+      suspicion.kind === 'suspected' &&
+      suspicion.cause === 'primaryUnreachable';
+    if (asksOthers && clock.now() < this.#askOthersAt) return {kind: 'healthy'};
+    const need = await assessNeed(view, evidence);
+    if (need.kind !== 'linkFault') return need;
+    this.#askOthersAt = clock.now() + LINK_FAULT_PAUSE_MS;
+    this.#options.onEvent?.(need);
+    return need;
   }
 
   /** Jittered, so that two nodes that outbid each other part. */
--- a/src/groups/monitor.ts
+++ b/src/groups/monitor.ts
@@ -4,8 +4,12 @@
 import type {DatabaseControl, DatabaseStatus} from './types.js';
 
 const STATUS_PERIOD_MS = 200;
+/** The period while something looks wrong, which shortens a failover. */
+const URGENT_PERIOD_MS = 50;
+/** A replica that hears nothing of its primary for this long looks wrong. */
+const UNEASY_SILENCE_MS = 300;
 const STATUS_TIMEOUT_MS = 500;
-const REFRESH_WAIT_MS = 100;
+const REFRESH_WAIT_MS = 30;
 /**
  * A question that took this much longer than its timeout says that this
  * process stood still, and nothing about the database.
@@ -121,10 +125,20 @@
       const startedAt = this.#clock.now();
       await this.#ask(watched);
       const spentMs = this.#clock.now() - startedAt;
-      await this.#clock.sleep(Math.max(0, this.#periodMs - spentMs), signal);
+      const periodMs = this.#isUneasy() ? URGENT_PERIOD_MS : this.#periodMs;
+      await this.#clock.sleep(Math.max(0, periodMs - spentMs), signal);
     }
   }
 
+  /** Whether a failover may be near or under way. */
+  #isUneasy(): boolean {
+    return this.#watched.some(
+      ({status, unansweredSince}) =>
+        unansweredSince !== undefined ||
+        (status !== undefined && status.upstreamSilentMs > UNEASY_SILENCE_MS),
+    );
+  }
+
   async #ask(watched: Watched): Promise<void> {
     const askedAt = this.#clock.now();
     try {
--- a/src/routing/replica-choice.ts
+++ b/src/routing/replica-choice.ts
@@ -45,7 +45,10 @@
 export type ReadChoice =
   | {readonly kind: 'replica'; readonly databaseId: string}
   | {readonly kind: 'primary'; readonly databaseId: string}
-  /** Wait for a replica, then choose again with `maxWaitMs` 0. */
+  /**
+   * Wait, then run there. If the position that the replica reports then falls
+   * short of the session's, run at the primary.
+   */
   | {
       readonly kind: 'wait';
       readonly databaseId: string;
--- a/test/groups/failover-agent.test.ts
+++ b/test/groups/failover-agent.test.ts
@@ -76,6 +76,14 @@
     expect(group.leader?.spec.id).not.toBe('db-1');
   });
 
+  test('waits no longer when no other node answers', async () => {
+    for (const node of nodes.slice(1)) node.clock.pause();
+    // Just before it is asked: found unreachable before the replicas complain.
+    await time.advance(190);
+    group.database('db-1').crash();
+    expect(await gapMs(nodes[0]!, 'replica')).toBeLessThanOrEqual(1_000);
+  });
+
   test('leaves a primary that answers late but in time', async () => {
     for (const node of NODES) group.links.between(node, 'db-1').delayMs = 240;
     await time.advance(10_000);
--- a/test/groups/failover.test.ts
+++ b/test/groups/failover.test.ts
@@ -96,6 +96,20 @@
     expect(group.database('db-3').fencedTerm).toBe(1);
   });
 
+  test('gives way when the group is past the term that was seen', async () => {
+    const clock = clocks[0]!;
+    const controls = group.controlsFor('vm-1', clock);
+    const seen = {clock, controls, orderer: 'vm-1/1', seenTerm: 1};
+    group.database('db-2').fence(2, 'vm-9/1');
+    expect(await settled(orderFailover(seen))).toMatchObject({
+      kind: 'outbid',
+      step: 'look',
+    });
+    expect(group.database('db-3').fencedTerm).toBe(1);
+    const now = {...seen, orderer: 'vm-1/2', seenTerm: 2};
+    expect(await settled(orderFailover(now))).toMatchObject({term: 3});
+  });
+
   test('lets one of two orderers at once have the term', async () => {
     const results = await settled(Promise.all([order(1, 1), order(2, 1)]));
     expect(results!.map(({kind}) => kind).sort()).toEqual([
