--- a/src/membership/exchange.ts
+++ b/src/membership/exchange.ts
@@ -4,7 +4,7 @@
 import type {PeerHandler} from '../peers/types.js';
 import type {Clock, Random} from '../platform/clock.js';
 import {elapsedSince, takeInstant, type Instant} from './elapsed.js';
-import {toPeerAddress} from './known-vm.js';
+import {isLive, toPeerAddress} from './known-vm.js';
 import type {Member} from './member.js';
 import type {Members} from './members.js';
 
@@ -14,8 +14,8 @@
 /** Longest time for one step of an exchange. */
 const EXCHANGE_TIMEOUT_MS = 500;
 
-/** Chance that the partner is a VM taken for dead, so that islands rejoin. */
-const DEAD_PARTNER_CHANCE = 0.1;
+/** Chance that the partner is a dead or leaving VM, so that islands rejoin. */
+const GONE_PARTNER_CHANCE = 0.1;
 
 /** Fleets above this size make a connection for each exchange. */
 const POOLED_FLEET_SIZE = 32;
@@ -68,8 +68,8 @@
   readonly #options: ExchangeOptions;
   readonly #sections: ReadonlyMap<string, ExchangeSection>;
   #partnersOf: readonly Member[] | undefined;
-  #dead: readonly Member[] = [];
-  #others: readonly Member[] = [];
+  #live: readonly Member[] = [];
+  #gone: readonly Member[] = [];
 
   constructor(options: ExchangeOptions) {
     this.#options = options;
@@ -123,12 +123,12 @@
     if (this.#partnersOf !== members.all()) {
       this.#partnersOf = members.all();
       const known = this.#partnersOf.filter(vm => vm.id !== selfId);
-      this.#dead = known.filter(vm => vm.status === 'dead');
-      this.#others = known.filter(vm => vm.status !== 'dead');
+      this.#live = known.filter(isLive);
+      this.#gone = known.filter(vm => !isLive(vm));
     }
-    const tryDead =
-      this.#others.length === 0 || random.next() < DEAD_PARTNER_CHANCE;
-    const choice = this.#dead.length > 0 && tryDead ? this.#dead : this.#others;
+    const tryGone =
+      this.#live.length === 0 || random.next() < GONE_PARTNER_CHANCE;
+    const choice = this.#gone.length > 0 && tryGone ? this.#gone : this.#live;
     return choice[Math.floor(random.next() * choice.length)];
   }
 
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -31,8 +31,9 @@
 const STATUS_RANK: Readonly<Record<MemberStatus, number>> = {
   alive: 0,
   suspect: 1,
-  leaving: 2,
-  dead: 3,
+  dead: 2,
+  // Final for the process that announced it, whether it still runs or not.
+  leaving: 3,
 };
 
 /** Whether `next` is newer than `current`. */
--- a/src/membership/members.ts
+++ b/src/membership/members.ts
@@ -2,7 +2,7 @@
 
 import type {Clock} from '../platform/clock.js';
 import type {VmRecord} from '../platform/vm-list.js';
-import {HomeOrders, type HomeOrderOptions} from './home-orders.js';
+import {MemberView, type HomeOrderOptions} from './member-view.js';
 import {createKnownVm, isLive, toMember, type KnownVm} from './known-vm.js';
 import {HeardTable} from './heard-table.js';
 import {MemberChanges} from './member-changes.js';
@@ -21,8 +21,8 @@
 /** How recently a majority must have been heard for accusations to spread. */
 const ACCUSE_HEARD_MS = 3_000;
 
-/** How long a dead VM that is not listed is remembered. */
-const FORGET_DEAD_MS = 600_000;
+/** How long a dead or leaving VM that is not listed is remembered. */
+const FORGET_GONE_MS = 600_000;
 
 /** Settings of the aggregate. */
 export interface MembersOptions {
@@ -42,9 +42,7 @@
   readonly #digest: MemberDigest;
   readonly #heard: HeardTable;
   readonly #listeners = new Set<() => void>();
-  readonly #homeOrders = new HomeOrders(() => this.live());
-  #members: readonly Member[] | undefined;
-  #live: readonly Member[] | undefined;
+  readonly #view = new MemberView(this.#vms);
   #listRevision = 0;
 
   constructor(options: MembersOptions) {
@@ -91,8 +89,7 @@
 
   /** Every known VM. */
   all(): readonly Member[] {
-    this.#members ??= [...this.#vms.values()].map(toMember);
-    return this.#members;
+    return this.#view.all();
   }
 
   /** A VM by its id. */
@@ -103,8 +100,7 @@
 
   /** VMs that may be given work: neither dead nor leaving. */
   live(): readonly Member[] {
-    this.#live ??= this.all().filter(isLive);
-    return this.#live;
+    return this.#view.live();
   }
 
   /**
@@ -117,7 +113,7 @@
     groupName: string,
     options: HomeOrderOptions = {},
   ): readonly Member[] {
-    return this.#homeOrders.resolve(groupName, options);
+    return this.#view.homeOrder(groupName, options);
   }
 
   /** Listed VMs that this node has heard of within `ms`, itself included. */
@@ -137,7 +133,9 @@
     const ids = new Set(records.map(record => record.id));
     for (const record of records) this.#applyRecord(record);
     for (const [id, vm] of this.#vms) {
-      if (!ids.has(id) && vm.listing === 'listed') vm.listing = 'removed';
+      if (ids.has(id) || vm.listing !== 'listed') continue;
+      vm.listing = 'removed';
+      vm.statusForMs = 0;
     }
     this.#heard.setListed([...ids], revision);
     const unchanged = this.selfIdentity.incarnation === 0;
@@ -179,9 +177,8 @@
   suspect(id: string): void {
     const vm = this.#vms.get(id);
     if (vm === undefined || id === this.selfId) return;
-    const {status} = vm.identity;
-    if (status === 'alive') this.#set(vm, {...vm.identity, status: 'suspect'});
-    if (status === 'leaving') this.#set(vm, {...vm.identity, status: 'dead'});
+    if (vm.identity.status !== 'alive') return;
+    this.#set(vm, {...vm.identity, status: 'suspect'});
   }
 
   /** Lets `elapsedMs` of this node's running time pass for each status. */
@@ -193,9 +190,9 @@
       if (status === 'suspect' && vm.statusForMs >= limitMs) {
         this.#set(vm, {...vm.identity, status: 'dead'});
       }
-      if (status === 'dead' && vm.statusForMs >= FORGET_DEAD_MS) {
-        if (vm.listing !== 'listed') this.#forget(id);
-      }
+      if (id === this.selfId) continue;
+      const gone = vm.listing !== 'listed' && !isLive(toMember(vm));
+      if (gone && vm.statusForMs >= FORGET_GONE_MS) this.#forget(id);
     }
   }
 
@@ -262,9 +259,7 @@
   }
 
   #notify(): void {
-    this.#members = undefined;
-    this.#live = undefined;
-    this.#homeOrders.clear();
+    this.#view.clear();
     this.#digest.clear();
     for (const listener of this.#listeners) listener();
   }
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -5,7 +5,7 @@
 import {PeerError, type PeerHandler} from '../peers/types.js';
 import type {Clock, Random} from '../platform/clock.js';
 import {elapsedSince, takeInstant} from './elapsed.js';
-import {toPeerAddress} from './known-vm.js';
+import {isLive, toPeerAddress} from './known-vm.js';
 import {isMemberIdentity, type Member, type MemberIdentity} from './member.js';
 import type {Members} from './members.js';
 import {rankByRendezvous} from './rendezvous.js';
@@ -89,9 +89,7 @@
     const {selfId} = members;
     const all = members.all();
     if (this.#ringOf === all) return this.#ring;
-    const candidates = all.filter(
-      vm => vm.status !== 'dead' || vm.id === selfId,
-    );
+    const candidates = all.filter(vm => isLive(vm) || vm.id === selfId);
     const ring = rankByRendezvous('ring', candidates);
     const at = ring.findIndex(vm => vm.id === selfId);
     const after = [...ring.slice(at + 1), ...ring.slice(0, at)];
--- a/test/fakes/virtual-node.ts
+++ b/test/fakes/virtual-node.ts
@@ -1,5 +1,7 @@
 /** One node of a virtual network. */
 
+import {encodeFrame} from '../../src/peers/framing.js';
+import {PROTOCOL_VERSION} from '../../src/peers/messages.js';
 import type {
   ConnectOptions,
   FreshPeerCaller,
@@ -24,6 +26,19 @@
 /** Round trips of TCP's and the peers' handshakes. */
 const CONNECT_ROUND_TRIPS = 2;
 
+/** Bytes of a handshake with the peer secret, from and to the caller. */
+const HELLO_BYTES = encodeFrame({
+  kind: 'hello',
+  version: PROTOCOL_VERSION,
+  from: 'vm-000',
+  nonce: new Uint8Array(16),
+  proof: new Uint8Array(32),
+}).length;
+const GREETING_BYTES =
+  encodeFrame({kind: 'challenge', nonce: new Uint8Array(16)}).length +
+  encodeFrame({kind: 'welcome', from: 'vm-000', proof: new Uint8Array(32)})
+    .length;
+
 /** A node's end of the network: calls others and serves calls. */
 export class VirtualNode implements FreshPeerCaller {
   readonly id: string;
@@ -125,6 +140,8 @@
       throw new PeerError('notSent', `no connection to ${to.id}`);
     }
     this.#traffic.connections++;
+    this.countFrame(HELLO_BYTES, GREETING_BYTES);
+    peer.countFrame(GREETING_BYTES, HELLO_BYTES);
     return new VirtualConnection(network, this, peer);
   }
 }
--- /dev/null
+++ b/test/rollout/dissemination-scale.test.ts
@@ -0,0 +1,68 @@
+import {expect, it} from 'vitest';
+import {Fleet} from '../membership/fleet.js';
+
+const CONFIG = 'zinnia/config';
+const CONFIG_CHARACTERS = 20_000;
+const TARGET_MS = 4_000;
+const BUDGET_BYTES_PER_SECOND = 5_000;
+const MEASURED_SECONDS = 5;
+
+/** Prints the figures that docs/design/dissemination.md quotes. */
+function report(size: number, figures: Record<string, number>): void {
+  const text = Object.entries(figures)
+    .map(([name, value]) => `${name}=${Math.round(value)}`)
+    .join(' ');
+  console.log(`nodes=${size} ${text}`);
+}
+
+it.each([7, 100, 1_000])(
+  'keeps the target and the budget with %d nodes',
+  async size => {
+    const fleet = new Fleet({size});
+    const nodes = fleet.nodes;
+    fleet.startAll();
+    await fleet.clock.advance(8_000);
+    fleet.net.takeTraffic();
+
+    let worstAgeMs = 0;
+    for (let tick = 0; tick < MEASURED_SECONDS * 5; tick++) {
+      await fleet.clock.advance(200);
+      const ages = [...nodes.values()].map(node => node.contact.ageMs());
+      worstAgeMs = Math.max(worstAgeMs, ...ages);
+    }
+    const traffic = [...fleet.net.takeTraffic().values()];
+    const totals = traffic
+      .map(({sentBytes, receivedBytes}) => sentBytes + receivedBytes)
+      .map(bytes => bytes / MEASURED_SECONDS);
+    const meanBytes = totals.reduce((sum, bytes) => sum + bytes, 0) / size;
+
+    const heldMs: number[] = [];
+    const startMs = fleet.clock.now();
+    for (const {documents} of nodes.values()) {
+      documents.onChange(() => heldMs.push(fleet.clock.now() - startMs));
+    }
+    fleet.store.put(CONFIG, 'x'.repeat(CONFIG_CHARACTERS));
+    await fleet.clock.advanceUntil(() => heldMs.length === size, 20_000);
+    heldMs.sort((a, b) => a - b);
+
+    report(size, {
+      bytesPerSecond: meanBytes,
+      worstBytesPerSecond: Math.max(...totals),
+      worstStoreAgeMs: worstAgeMs,
+      heldByHalfMs: heldMs[Math.floor(size / 2)]!,
+      heldByAllMs: heldMs[size - 1]!,
+      liveSeenByFewest: Math.min(
+        ...[...nodes.values()].map(node => node.members.live().length),
+      ),
+      heardByFewest: Math.min(
+        ...[...nodes.values()].map(node => node.members.heardWithin(3_000)),
+      ),
+    });
+    expect(heldMs).toHaveLength(size);
+    expect(heldMs.at(-1)).toBeLessThan(TARGET_MS);
+    expect(meanBytes).toBeLessThan(BUDGET_BYTES_PER_SECOND);
+    expect(worstAgeMs).toBeLessThan(3_000);
+    await fleet.stop();
+  },
+  280_000,
+);
