--- a/src/membership/exchange-sections.ts
+++ b/src/membership/exchange-sections.ts
@@ -132,7 +132,11 @@
     content.deltas.forEach(delta => this.#members.applyDelta(delta));
     const own = this.summary();
     if (own.down === content.down) return {give: own};
-    return {give: {...own, deltas: this.#repairs(own.deltas)}, want: true};
+    const opinion = this.#members.digest.accusationOf(from);
+    const deltas = this.#repairs(
+      opinion ? [opinion, ...own.deltas] : own.deltas,
+    );
+    return {give: {...own, deltas}, want: true};
   }
 
   provide(): VmsContent {
--- a/src/membership/exchange.ts
+++ b/src/membership/exchange.ts
@@ -14,8 +14,8 @@
 /** Longest time for one step of an exchange. */
 const EXCHANGE_TIMEOUT_MS = 500;
 
-/** Chance that the partner is a dead or leaving VM, so that islands rejoin. */
-const GONE_PARTNER_CHANCE = 0.1;
+/** Least chance that the partner is a dead or leaving VM, so that islands rejoin. */
+const MIN_GONE_CHANCE = 0.1;
 
 /** Fleets above this size make a connection for each exchange. */
 const POOLED_FLEET_SIZE = 32;
@@ -126,8 +126,10 @@
       this.#live = known.filter(isLive);
       this.#gone = known.filter(vm => !isLive(vm));
     }
-    const tryGone =
-      this.#live.length === 0 || random.next() < GONE_PARTNER_CHANCE;
+    const goneShare =
+      this.#gone.length / (this.#gone.length + this.#live.length);
+    const goneChance = Math.max(MIN_GONE_CHANCE, goneShare / 2);
+    const tryGone = this.#live.length === 0 || random.next() < goneChance;
     const choice = this.#gone.length > 0 && tryGone ? this.#gone : this.#live;
     return choice[Math.floor(random.next() * choice.length)];
   }
--- a/src/membership/known-vm.ts
+++ b/src/membership/known-vm.ts
@@ -17,6 +17,8 @@
   record: VmRecord;
   identity: MemberIdentity;
   listing: Listing;
+  /** Whether this node, hearing no majority, may itself be at fault. */
+  isDoubtful: boolean;
   /** Running time of this node since the status last changed. */
   statusForMs: number;
 }
@@ -24,7 +26,7 @@
 /** A VM of which nobody has spoken yet. */
 export function createKnownVm(record: VmRecord, listing: Listing): KnownVm {
   const identity = {instance: '', incarnation: -1, status: 'alive'} as const;
-  return {record, identity, listing, statusForMs: 0};
+  return {record, identity, listing, isDoubtful: false, statusForMs: 0};
 }
 
 /** Whether a VM may be given work. */
--- a/src/membership/member-digest.ts
+++ b/src/membership/member-digest.ts
@@ -5,21 +5,15 @@
 import type {MemberChanges} from './member-changes.js';
 import {rendezvousScore} from './rendezvous.js';
 
-/** Chooses what to tell; accusations come only from a majority. */
+/** Chooses what to tell; what is doubtful is kept to itself. */
 export class MemberDigest {
   readonly #vms: ReadonlyMap<string, KnownVm>;
   readonly #changes: MemberChanges;
-  readonly #mayAccuse: () => boolean;
   #checksum: number | undefined;
 
-  constructor(
-    vms: ReadonlyMap<string, KnownVm>,
-    changes: MemberChanges,
-    mayAccuse: () => boolean,
-  ) {
+  constructor(vms: ReadonlyMap<string, KnownVm>, changes: MemberChanges) {
     this.#vms = vms;
     this.#changes = changes;
-    this.#mayAccuse = mayAccuse;
   }
 
   /** Forgets what was computed, after a change of the view. */
@@ -29,18 +23,22 @@
 
   /** Recent changes for the next message. */
   takeDeltas(): readonly MemberDelta[] {
-    const mayAccuse = this.#mayAccuse();
     const ids = this.#changes.take(this.#vms.size, id => {
-      const status = this.#vms.get(id)?.identity.status;
-      if (status === undefined) return false;
-      return mayAccuse || status === 'alive' || status === 'leaving';
+      const vm = this.#vms.get(id);
+      return vm !== undefined && !vm.isDoubtful;
     });
     return ids.map(id => toDelta(this.#vms.get(id)!));
   }
 
   /** Listed VMs that are not alive, for a node that has missed some. */
   downDeltas(): readonly MemberDelta[] {
-    return this.#mayAccuse() ? this.#down().map(toDelta) : [];
+    return this.#down().map(toDelta);
+  }
+
+  /** What this node holds against a VM, for that VM itself to refute. */
+  accusationOf(id: string): MemberDelta | undefined {
+    const vm = this.#vms.get(id);
+    return vm && vm.identity.status !== 'alive' ? toDelta(vm) : undefined;
   }
 
   /** Equal on two nodes that agree on which listed VMs are not alive. */
@@ -55,7 +53,10 @@
 
   #down(): KnownVm[] {
     return [...this.#vms.values()].filter(
-      vm => vm.listing === 'listed' && vm.identity.status !== 'alive',
+      vm =>
+        vm.listing === 'listed' &&
+        vm.identity.status !== 'alive' &&
+        !vm.isDoubtful,
     );
   }
 }
--- a/src/membership/members.ts
+++ b/src/membership/members.ts
@@ -13,13 +13,14 @@
   type Member,
   type MemberDelta,
   type MemberIdentity,
+  type MemberStatus,
 } from './member.js';
 
 /** How long a suspicion waits for its refutation. */
 export const DEFAULT_SUSPICION_MS = 2_000;
 
-/** How recently a majority must have been heard for accusations to spread. */
-const ACCUSE_HEARD_MS = 3_000;
+/** How recently a majority must have been heard for a failure to be credible. */
+const CREDIBLE_HEARD_MS = 3_000;
 
 /** How long a dead or leaving VM that is not listed is remembered. */
 const FORGET_GONE_MS = 600_000;
@@ -49,14 +50,13 @@
     this.#options = options;
     this.#heard = new HeardTable(options.clock, options.self.id);
     this.#changes = new MemberChanges(options.clock);
-    this.#digest = new MemberDigest(this.#vms, this.#changes, () =>
-      this.hearsMajority(ACCUSE_HEARD_MS),
-    );
+    this.#digest = new MemberDigest(this.#vms, this.#changes);
     const {self, instance} = options;
     this.#vms.set(self.id, {
       record: self,
       identity: {instance, incarnation: 0, status: 'alive'},
       listing: 'unlisted',
+      isDoubtful: false,
       statusForMs: 0,
     });
     this.#changes.note(self.id);
@@ -148,15 +148,14 @@
     if (delta.id === this.selfId) return this.#refute(delta);
     const vm = this.#vms.get(delta.id) ?? this.#introduce(delta);
     if (vm === undefined || !supersedes(delta, vm.identity)) return;
+    if (isOldSuspicion(delta, vm.identity)) return;
+    vm.isDoubtful = false;
     const {instance, incarnation, status} = delta;
-    // A death that comes as news is only suspected, so that the VM may refute.
-    const expected =
-      vm.identity.status !== 'alive' && vm.identity.incarnation === incarnation;
-    const isNews = status === 'dead' && !expected;
+    // A death by hearsay is only suspected, so that the VM may refute it.
     this.#set(vm, {
       instance,
       incarnation,
-      status: isNews ? 'suspect' : status,
+      status: status === 'dead' ? 'suspect' : status,
     });
   }
 
@@ -178,19 +177,21 @@
     const vm = this.#vms.get(id);
     if (vm === undefined || id === this.selfId) return;
     if (vm.identity.status !== 'alive') return;
+    vm.isDoubtful = !this.hearsMajority(CREDIBLE_HEARD_MS);
     this.#set(vm, {...vm.identity, status: 'suspect'});
   }
 
   /** Lets `elapsedMs` of this node's running time pass for each status. */
   passTime(elapsedMs: number): void {
-    const limitMs = this.#options.suspicionMs ?? DEFAULT_SUSPICION_MS;
+    const isCredible = this.hearsMajority(CREDIBLE_HEARD_MS);
     for (const [id, vm] of this.#vms) {
+      if (id === this.selfId) continue;
       vm.statusForMs += elapsedMs;
-      const {status} = vm.identity;
-      if (status === 'suspect' && vm.statusForMs >= limitMs) {
-        this.#set(vm, {...vm.identity, status: 'dead'});
+      const status = this.#resolveStatus(vm, isCredible);
+      if (status !== vm.identity.status) {
+        vm.isDoubtful = !isCredible;
+        this.#set(vm, {...vm.identity, status});
       }
-      if (id === this.selfId) continue;
       const gone = vm.listing !== 'listed' && !isLive(toMember(vm));
       if (gone && vm.statusForMs >= FORGET_GONE_MS) this.#forget(id);
     }
@@ -209,6 +210,18 @@
     return () => this.#listeners.delete(listener);
   }
 
+  /** What has become of a VM by the passing of time. */
+  #resolveStatus(vm: KnownVm, isCredible: boolean): MemberStatus {
+    const {status} = vm.identity;
+    if (status !== 'suspect' && status !== 'dead') return status;
+    // Back among the majority: probe anew what failed while this node was not.
+    if (isCredible && vm.isDoubtful) return 'alive';
+    // It has answered some node since: no need for it to refute this.
+    if (this.#heard.ageMs(vm.record.id) < vm.statusForMs) return 'alive';
+    const limitMs = this.#options.suspicionMs ?? DEFAULT_SUSPICION_MS;
+    return vm.statusForMs >= limitMs ? 'dead' : status;
+  }
+
   #applyRecord(record: VmRecord): void {
     const known = this.#vms.get(record.id);
     if (known === undefined) {
@@ -249,6 +262,7 @@
   #set(vm: KnownVm, identity: MemberIdentity): void {
     const {incarnation, status} = vm.identity;
     vm.identity = identity;
+    if (identity.status === 'alive') vm.isDoubtful = false;
     const changed = identity.status !== status;
     // That a listed VM runs for the first time is no news to anyone.
     const isNews = incarnation >= 0 || vm.listing === 'unlisted';
@@ -264,3 +278,12 @@
     for (const listener of this.#listeners) listener();
   }
 }
+
+/** Whether a death adds nothing to a suspicion whose time is running. */
+function isOldSuspicion(next: MemberIdentity, current: MemberIdentity) {
+  return (
+    next.status === 'dead' &&
+    current.status === 'suspect' &&
+    next.incarnation === current.incarnation
+  );
+}
--- /dev/null
+++ b/test/membership/islands.test.ts
@@ -0,0 +1,75 @@
+import {afterEach, expect, it} from 'vitest';
+import {Fleet} from './fleet.js';
+
+const SIZE = 100;
+const LIMIT_MS = 3_000;
+
+let fleet: Fleet;
+
+afterEach(() => fleet.stop());
+
+function standings(ids: readonly string[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const id of ids) {
+    const standing = fleet.node(id).standing.evaluate();
+    counts[standing] = (counts[standing] ?? 0) + 1;
+  }
+  return counts;
+}
+
+it('cuts off a data centre of 25 VMs and takes it back', async () => {
+  fleet = new Fleet({size: SIZE});
+  fleet.startAll();
+  await fleet.clock.advance(8_000);
+  const island = fleet.records
+    .filter(vm => vm.dataCentre === 'dc-b')
+    .map(vm => vm.id);
+  const rest = fleet.ids().filter(id => !island.includes(id));
+  fleet.net.partition(island);
+  fleet.store.unreachableFor = new Set(island);
+
+  await fleet.clock.advance(LIMIT_MS + 1);
+  expect(standings(island)).toEqual({cutOff: 25});
+  const revision = fleet.store.put('zinnia/config', 'new');
+  await fleet.clock.advance(30_000);
+  expect(standings(island)).toEqual({cutOff: 25});
+  expect(standings(rest)).toEqual({current: 75});
+  for (const id of rest) {
+    expect(fleet.node(id).documents.revision('zinnia/config')).toBe(revision);
+    expect(fleet.node(id).members.live()).toHaveLength(75);
+  }
+
+  fleet.net.heal();
+  fleet.store.unreachableFor = new Set();
+  const healedMs = fleet.clock.now();
+  let wronglyDead = 0;
+  const isWhole = () => {
+    const views = rest.map(id => fleet.node(id).members);
+    const dead = views.map(
+      view => rest.filter(id => view.find(id)?.status === 'dead').length,
+    );
+    wronglyDead = Math.max(wronglyDead, ...dead);
+    return [...fleet.nodes.values()].every(
+      node =>
+        node.members.live().length === SIZE &&
+        node.documents.revision('zinnia/config') === revision,
+    );
+  };
+  expect(await fleet.clock.advanceUntil(isWhole, 60_000, 100)).toBe(true);
+  console.log(`rejoined after ${fleet.clock.now() - healedMs} ms`);
+  expect(wronglyDead).toBe(0);
+  expect(standings(fleet.ids())).toEqual({current: SIZE});
+}, 120_000);
+
+it('keeps 100 nodes in outage, none cut off, without the store', async () => {
+  fleet = new Fleet({size: SIZE});
+  fleet.startAll();
+  await fleet.clock.advance(8_000);
+  fleet.store.unreachableFor = 'all';
+  const seen = new Set<string>();
+  for (let tick = 0; tick < 300; tick++) {
+    await fleet.clock.advance(100);
+    Object.keys(standings(fleet.ids())).forEach(name => seen.add(name));
+  }
+  expect(seen).toEqual(new Set(['current', 'outage']));
+}, 120_000);
