--- a/src/membership/member-changes.ts
+++ b/src/membership/member-changes.ts
@@ -36,8 +36,15 @@
     this.#changes.delete(id);
   }
 
-  /** The changes for the next message, least often sent first. */
-  take(fleetSize: number, maySend: (id: string) => boolean): readonly string[] {
+  /**
+   * The changes for the next message: those that can't wait, then those least
+   * often sent.
+   */
+  take(
+    fleetSize: number,
+    maySend: (id: string) => boolean,
+    isUrgent: (id: string) => boolean,
+  ): readonly string[] {
     const limit = SENDS_PER_DOUBLING * Math.ceil(Math.log2(fleetSize + 1));
     const oldestMs = this.#clock.now() - CHANGE_LIFE_MS;
     for (const [id, change] of this.#changes) {
@@ -46,7 +53,12 @@
     }
     const chosen = [...this.#changes]
       .filter(([id]) => maySend(id))
-      .sort(([idA, a], [idB, b]) => a.sent - b.sent || compareIds(idA, idB))
+      .sort(
+        ([idA, a], [idB, b]) =>
+          Number(isUrgent(idB)) - Number(isUrgent(idA)) ||
+          a.sent - b.sent ||
+          compareIds(idA, idB),
+      )
       .slice(0, MAX_CHANGES_PER_MESSAGE);
     for (const [, change] of chosen) change.sent++;
     return chosen.map(([id]) => id);
--- a/src/membership/member-digest.ts
+++ b/src/membership/member-digest.ts
@@ -23,10 +23,11 @@
 
   /** Recent changes for the next message. */
   takeDeltas(): readonly MemberDelta[] {
-    const ids = this.#changes.take(this.#vms.size, id => {
-      const vm = this.#vms.get(id);
-      return vm !== undefined && !vm.isDoubtful;
-    });
+    const maySend = (id: string) => this.#vms.get(id)?.isDoubtful === false;
+    // A refutation must overtake the suspicion that it answers.
+    const isUrgent = (id: string) =>
+      this.#vms.get(id)?.identity.status === 'alive';
+    const ids = this.#changes.take(this.#vms.size, maySend, isUrgent);
     return ids.map(id => toDelta(this.#vms.get(id)!));
   }
 
--- a/src/membership/members.ts
+++ b/src/membership/members.ts
@@ -172,18 +172,27 @@
     this.#set(vm, identity);
   }
 
-  /** Notes that a VM answered no probe. */
-  suspect(id: string): void {
+  /** Whether this node hears enough of the others to judge one of them. */
+  get isCredible(): boolean {
+    return this.hearsMajority(CREDIBLE_HEARD_MS);
+  }
+
+  /**
+   * Notes that a VM answered no probe.
+   *
+   * @param wasCredible Whether this node was credible when the probe began.
+   */
+  suspect(id: string, wasCredible = true): void {
     const vm = this.#vms.get(id);
     if (vm === undefined || id === this.selfId) return;
     if (vm.identity.status !== 'alive') return;
-    vm.isDoubtful = !this.hearsMajority(CREDIBLE_HEARD_MS);
+    vm.isDoubtful = !wasCredible || !this.isCredible;
     this.#set(vm, {...vm.identity, status: 'suspect'});
   }
 
   /** Lets `elapsedMs` of this node's running time pass for each status. */
   passTime(elapsedMs: number): void {
-    const isCredible = this.hearsMajority(CREDIBLE_HEARD_MS);
+    const {isCredible} = this;
     for (const [id, vm] of this.#vms) {
       if (id === this.selfId) continue;
       vm.statusForMs += elapsedMs;
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -103,10 +103,12 @@
     this.#probing.add(vm.id);
     const {clock, members} = this.#options;
     const start = takeInstant(clock);
+    const wasCredible = members.isCredible;
     try {
       if (await this.#answers(vm)) return;
       const limitMs = PROBE_TIMEOUT_MS + PROBE_TIMEOUT_MS + MAX_OWN_DELAY_MS;
-      if (elapsedSince(clock, start) <= limitMs) members.suspect(vm.id);
+      if (elapsedSince(clock, start) <= limitMs)
+        members.suspect(vm.id, wasCredible);
     } finally {
       this.#probing.delete(vm.id);
     }
