--- a/src/membership/members.ts
+++ b/src/membership/members.ts
@@ -2,7 +2,7 @@
 
 import type {Clock} from '../platform/clock.js';
 import type {VmRecord} from '../platform/vm-list.js';
-import {HomeOrders, type HomeOrderOptions} from './home-orders.js';
+import {MemberView, type HomeOrderOptions} from './member-view.js';
 import {createKnownVm, isLive, toMember, type KnownVm} from './known-vm.js';
 import {HeardTable} from './heard-table.js';
 import {MemberChanges} from './member-changes.js';
@@ -13,16 +13,17 @@
   type Member,
   type MemberDelta,
   type MemberIdentity,
+  type MemberStatus,
 } from './member.js';
 
 /** How long a suspicion waits for its refutation. */
 export const DEFAULT_SUSPICION_MS = 2_000;
 
-/** How recently a majority must have been heard for accusations to spread. */
-const ACCUSE_HEARD_MS = 3_000;
+/** How recently a majority must have been heard for a failure to be credible. */
+const CREDIBLE_HEARD_MS = 3_000;
 
-/** How long a dead VM that is not listed is remembered. */
-const FORGET_DEAD_MS = 600_000;
+/** How long a dead or leaving VM that is not listed is remembered. */
+const FORGET_GONE_MS = 600_000;
 
 /** Settings of the aggregate. */
 export interface MembersOptions {
@@ -42,23 +43,20 @@
   readonly #digest: MemberDigest;
   readonly #heard: HeardTable;
   readonly #listeners = new Set<() => void>();
-  readonly #homeOrders = new HomeOrders(() => this.live());
-  #members: readonly Member[] | undefined;
-  #live: readonly Member[] | undefined;
+  readonly #view = new MemberView(this.#vms);
   #listRevision = 0;
 
   constructor(options: MembersOptions) {
     this.#options = options;
     this.#heard = new HeardTable(options.clock, options.self.id);
     this.#changes = new MemberChanges(options.clock);
-    this.#digest = new MemberDigest(this.#vms, this.#changes, () =>
-      this.hearsMajority(ACCUSE_HEARD_MS),
-    );
+    this.#digest = new MemberDigest(this.#vms, this.#changes);
     const {self, instance} = options;
     this.#vms.set(self.id, {
       record: self,
       identity: {instance, incarnation: 0, status: 'alive'},
       listing: 'unlisted',
+      isDoubtful: false,
       statusForMs: 0,
     });
     this.#changes.note(self.id);
@@ -91,8 +89,7 @@
 
   /** Every known VM. */
   all(): readonly Member[] {
-    this.#members ??= [...this.#vms.values()].map(toMember);
-    return this.#members;
+    return this.#view.all();
   }
 
   /** A VM by its id. */
@@ -103,8 +100,7 @@
 
   /** VMs that may be given work: neither dead nor leaving. */
   live(): readonly Member[] {
-    this.#live ??= this.all().filter(isLive);
-    return this.#live;
+    return this.#view.live();
   }
 
   /**
@@ -117,7 +113,7 @@
     groupName: string,
     options: HomeOrderOptions = {},
   ): readonly Member[] {
-    return this.#homeOrders.resolve(groupName, options);
+    return this.#view.homeOrder(groupName, options);
   }
 
   /** Listed VMs that this node has heard of within `ms`, itself included. */
@@ -137,7 +133,9 @@
     const ids = new Set(records.map(record => record.id));
     for (const record of records) this.#applyRecord(record);
     for (const [id, vm] of this.#vms) {
-      if (!ids.has(id) && vm.listing === 'listed') vm.listing = 'removed';
+      if (ids.has(id) || vm.listing !== 'listed') continue;
+      vm.listing = 'removed';
+      vm.statusForMs = 0;
     }
     this.#heard.setListed([...ids], revision);
     const unchanged = this.selfIdentity.incarnation === 0;
@@ -150,15 +148,14 @@
     if (delta.id === this.selfId) return this.#refute(delta);
     const vm = this.#vms.get(delta.id) ?? this.#introduce(delta);
     if (vm === undefined || !supersedes(delta, vm.identity)) return;
+    if (isOldSuspicion(delta, vm.identity)) return;
+    vm.isDoubtful = false;
     const {instance, incarnation, status} = delta;
-    // A death that comes as news is only suspected, so that the VM may refute.
-    const expected =
-      vm.identity.status !== 'alive' && vm.identity.incarnation === incarnation;
-    const isNews = status === 'dead' && !expected;
+    // A death by hearsay is only suspected, so that the VM may refute it.
     this.#set(vm, {
       instance,
       incarnation,
-      status: isNews ? 'suspect' : status,
+      status: status === 'dead' ? 'suspect' : status,
     });
   }
 
@@ -175,27 +172,37 @@
     this.#set(vm, identity);
   }
 
-  /** Notes that a VM answered no probe. */
-  suspect(id: string): void {
+  /** Whether this node hears enough of the others to judge one of them. */
+  get isCredible(): boolean {
+    return this.hearsMajority(CREDIBLE_HEARD_MS);
+  }
+
+  /**
+   * Notes that a VM answered no probe.
+   *
+   * @param wasCredible Whether this node was credible when the probe began.
+   */
+  suspect(id: string, wasCredible = true): void {
     const vm = this.#vms.get(id);
     if (vm === undefined || id === this.selfId) return;
-    const {status} = vm.identity;
-    if (status === 'alive') this.#set(vm, {...vm.identity, status: 'suspect'});
-    if (status === 'leaving') this.#set(vm, {...vm.identity, status: 'dead'});
+    if (vm.identity.status !== 'alive') return;
+    vm.isDoubtful = !wasCredible || !this.isCredible;
+    this.#set(vm, {...vm.identity, status: 'suspect'});
   }
 
   /** Lets `elapsedMs` of this node's running time pass for each status. */
   passTime(elapsedMs: number): void {
-    const limitMs = this.#options.suspicionMs ?? DEFAULT_SUSPICION_MS;
+    const {isCredible} = this;
     for (const [id, vm] of this.#vms) {
+      if (id === this.selfId) continue;
       vm.statusForMs += elapsedMs;
-      const {status} = vm.identity;
-      if (status === 'suspect' && vm.statusForMs >= limitMs) {
-        this.#set(vm, {...vm.identity, status: 'dead'});
-      }
-      if (status === 'dead' && vm.statusForMs >= FORGET_DEAD_MS) {
-        if (vm.listing !== 'listed') this.#forget(id);
+      const status = this.#resolveStatus(vm, isCredible);
+      if (status !== vm.identity.status) {
+        vm.isDoubtful = !isCredible;
+        this.#set(vm, {...vm.identity, status});
       }
+      const gone = vm.listing !== 'listed' && !isLive(toMember(vm));
+      if (gone && vm.statusForMs >= FORGET_GONE_MS) this.#forget(id);
     }
   }
 
@@ -212,6 +219,18 @@
     return () => this.#listeners.delete(listener);
   }
 
+  /** What has become of a VM by the passing of time. */
+  #resolveStatus(vm: KnownVm, isCredible: boolean): MemberStatus {
+    const {status} = vm.identity;
+    if (status !== 'suspect' && status !== 'dead') return status;
+    // Back among the majority: probe anew what failed while this node was not.
+    if (isCredible && vm.isDoubtful) return 'alive';
+    // It has answered some node since: no need for it to refute this.
+    if (this.#heard.ageMs(vm.record.id) < vm.statusForMs) return 'alive';
+    const limitMs = this.#options.suspicionMs ?? DEFAULT_SUSPICION_MS;
+    return vm.statusForMs >= limitMs ? 'dead' : status;
+  }
+
   #applyRecord(record: VmRecord): void {
     const known = this.#vms.get(record.id);
     if (known === undefined) {
@@ -252,6 +271,7 @@
   #set(vm: KnownVm, identity: MemberIdentity): void {
     const {incarnation, instance, status} = vm.identity;
     vm.identity = identity;
+    if (identity.status === 'alive') vm.isDoubtful = false;
     const changed = identity.status !== status;
     const restarted = identity.instance !== instance;
     // That a listed VM runs for the first time is no news to anyone.
@@ -263,10 +283,17 @@
   }
 
   #notify(): void {
-    this.#members = undefined;
-    this.#live = undefined;
-    this.#homeOrders.clear();
+    this.#view.clear();
     this.#digest.clear();
     for (const listener of this.#listeners) listener();
   }
 }
+
+/** Whether a death adds nothing to a suspicion whose time is running. */
+function isOldSuspicion(next: MemberIdentity, current: MemberIdentity) {
+  return (
+    next.status === 'dead' &&
+    current.status === 'suspect' &&
+    next.incarnation === current.incarnation
+  );
+}
