--- a/src/home/statement-runs.ts
+++ b/src/home/statement-runs.ts
@@ -20,7 +20,8 @@
 /** Runs batches no longer than somebody waits for them. */
 export class StatementRuns {
   readonly #clock: Clock;
-  readonly #running = new Set<StatementRun>();
+  /** What runs, with the cancel requests on their way to each. */
+  readonly #running = new Map<StatementRun, Promise<void>[]>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -38,25 +39,28 @@
     void this.#clock.sleep(leftMs, finished.signal).then(() => {
       if (!finished.signal.aborted) run.connection.close();
     });
-    this.#running.add(run);
+    const cancels: Promise<void>[] = [];
+    this.#running.set(run, cancels);
     try {
       return await run.connection.run(run.frames, run.observer);
     } finally {
       finished.abort();
       this.#running.delete(run);
+      // A cancel request still on its way would stop the next batch instead.
+      await Promise.all(cancels);
     }
   }
 
   /** Asks the database to stop what a session runs. */
   cancel(sessionId: string): void {
-    for (const run of this.#running) {
-      if (run.sessionId === sessionId) void run.connection.cancel();
+    for (const [run, cancels] of this.#running) {
+      if (run.sessionId === sessionId) cancels.push(run.connection.cancel());
     }
   }
 
   /** Gives up what runs on a database that no longer answers. */
   abandon(databaseId: string): void {
-    for (const run of this.#running) {
+    for (const run of this.#running.keys()) {
       if (run.databaseId === databaseId) run.connection.close();
     }
   }
--- /dev/null
+++ b/test/home/statement-runs.test.ts
@@ -0,0 +1,82 @@
+import {describe, expect, it} from 'vitest';
+import {StatementRuns} from '../../src/home/statement-runs.js';
+import {SystemClock} from '../../src/platform/clock.js';
+import type {BatchEnd, TargetConnection} from '../../src/targets/types.js';
+
+const END: BatchEnd = {transaction: 'idle', position: undefined, failed: false};
+
+function withResolvers<Value>() {
+  let resolve!: (value: Value) => void;
+  let reject!: (err: Error) => void;
+  const promise = new Promise<Value>((done, fail) => {
+    resolve = done;
+    reject = fail;
+  });
+  return {promise, resolve, reject};
+}
+
+/** A connection whose batch and cancel request end when a test says so. */
+function createConnection() {
+  const batch = withResolvers<BatchEnd>();
+  const cancelled = withResolvers<void>();
+  const connection: TargetConnection = {
+    usable: true,
+    transaction: 'idle',
+    run: () => batch.promise,
+    cancel: () => cancelled.promise,
+    close: () => batch.reject(new Error('closed')),
+  };
+  return {batch, cancelled, connection};
+}
+
+function start(connection: TargetConnection, deadlineMs = 10_000) {
+  const clock = new SystemClock();
+  const runs = new StatementRuns(clock);
+  let ended = false;
+  const run = runs
+    .run({
+      sessionId: 's1',
+      databaseId: 'db1',
+      connection,
+      frames: new Uint8Array(),
+      observer: {onFrames: () => {}},
+      deadlineAt: clock.now() + deadlineMs,
+    })
+    .finally(() => (ended = true));
+  return {runs, run, hasEnded: () => ended};
+}
+
+describe('statement runs', () => {
+  it('holds a connection until a cancel request has passed', async () => {
+    const {batch, cancelled, connection} = createConnection();
+    const {runs, run, hasEnded} = start(connection);
+    runs.cancel('s1');
+    batch.resolve(END);
+    await new Promise(resolve => setImmediate(resolve));
+    expect(hasEnded()).toBe(false);
+    cancelled.resolve();
+    expect(await run).toEqual(END);
+  });
+
+  it('cancels the named session only', async () => {
+    const {batch, connection} = createConnection();
+    const {runs, run} = start(connection);
+    runs.cancel('s2');
+    batch.resolve(END);
+    expect(await run).toEqual(END);
+  });
+
+  it('closes the connection at the deadline', async () => {
+    const {connection} = createConnection();
+    const {run} = start(connection, 1);
+    await expect(run).rejects.toThrow('closed');
+  });
+
+  it('gives up what runs on a silent database', async () => {
+    const {connection} = createConnection();
+    const {runs, run} = start(connection);
+    runs.abandon('db2');
+    runs.abandon('db1');
+    await expect(run).rejects.toThrow('closed');
+  });
+});
