--- a/src/callers/batch.ts
+++ b/src/callers/batch.ts
@@ -10,6 +10,7 @@
 
 const PARSE_COMPLETE = 0x31;
 const HEADER_BYTES = 5;
+const UNKNOWN_STATEMENT = '26000';
 /** Statements that one session may keep prepared. */
 const MAX_PREPARED = 1_000;
 
@@ -134,7 +135,10 @@
   #loadStatement(name: string, wanted: boolean): void {
     const statement = this.#prepared.get(name);
     if (statement === undefined) {
-      throw new ProtocolError(`prepared statement "${name}" does not exist`);
+      throw new ProtocolError(
+        `prepared statement "${name}" does not exist`,
+        UNKNOWN_STATEMENT,
+      );
     }
     if (wanted) this.#statements.push(statement.sql);
     this.#frames.push(message('P', cstring(''), statement.tail));
--- a/src/callers/socket-reader.ts
+++ b/src/callers/socket-reader.ts
@@ -4,9 +4,14 @@
  */
 import type {Duplex} from 'node:stream';
 
+const PROTOCOL_VIOLATION = '08P01';
+
 /** The caller sent something that is not the protocol. */
 export class ProtocolError extends Error {
-  constructor(message: string) {
+  constructor(
+    message: string,
+    readonly sqlstate = PROTOCOL_VIOLATION,
+  ) {
     super(message);
     this.name = 'ProtocolError';
   }
