--- a/src/callers/caller-session.ts
+++ b/src/callers/caller-session.ts
@@ -24,13 +24,18 @@
   type ParameterFault,
 } from './session-parameters.js';
 import {ProtocolError, type Frame, type SocketReader} from './socket-reader.js';
-import {StatementRunner} from './statement-runner.js';
+import {
+  isEnd,
+  isRestart,
+  rollbackAnswer,
+  TRANSACTION_ABORTED,
+} from './broken-transaction.js';
+import {StatementRunner, type RunRequest} from './statement-runner.js';
 import type {Authority, SessionDeps} from './types.js';
 
 /** Bytes of one message from a caller at most. */
 export const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
 const BATCH_TYPES: ReadonlySet<string> = new Set(['P', 'B', 'D', 'C', 'E']);
-const PROTOCOL_VIOLATION = '08P01';
 const UNSUPPORTED = '0A000';
 /** A batch of nothing but Sync. */
 const SYNC_BYTES = 5;
@@ -53,6 +58,8 @@
   /** Set while the rest of a faulty batch is skipped up to its Sync. */
   #skipping = false;
   #busy = false;
+  /** Whether the proxy itself refused something in this cycle. */
+  #refused = false;
   #closing: ErrorFields | undefined;
 
   constructor(
@@ -82,7 +89,7 @@
       if (!(err instanceof ProtocolError)) throw err;
       this.#writeError({
         severity: 'FATAL',
-        sqlstate: PROTOCOL_VIOLATION,
+        sqlstate: err.sqlstate,
         message: err.message,
       });
     } finally {
@@ -144,14 +151,14 @@
       this.#batch.add(frame);
     } catch (err) {
       if (!(err instanceof ProtocolError)) throw err;
-      this.#failBatch(PROTOCOL_VIOLATION, err.message);
+      this.#failBatch(err.sqlstate, err.message);
     }
   }
 
   #failBatch(sqlstate: string, message: string): void {
     this.#batch.finish();
     this.#skipping = true;
-    this.#writeError({severity: 'ERROR', sqlstate, message});
+    this.#refuse({severity: 'ERROR', sqlstate, message});
   }
 
   async #serveQuery(frame: Frame): Promise<void> {
@@ -170,7 +177,7 @@
         signal: this.#gone.signal,
       });
     }
-    this.#write(readyForQuery(this.#runner.transaction));
+    this.#endCycle();
   }
 
   async #serveSync(): Promise<void> {
@@ -193,6 +200,16 @@
         });
       }
     }
+    this.#endCycle();
+  }
+
+  /** An error fails an open transaction, also one that no database made. */
+  #endCycle(): void {
+    const {transaction, isBroken} = this.#runner;
+    if (this.#refused && transaction !== 'idle' && !isBroken) {
+      this.#runner.breakTransaction();
+    }
+    this.#refused = false;
     this.#write(readyForQuery(this.#runner.transaction));
   }
 
@@ -203,7 +220,11 @@
     return classificationOf(found.flatMap(({statements}) => statements));
   }
 
-  async #execute(req: Parameters<StatementRunner['run']>[0]): Promise<void> {
+  async #execute(req: RunRequest): Promise<void> {
+    if (this.#runner.isBroken && !isRestart(req.classification)) {
+      return this.#answerBroken(req);
+    }
+    if (this.#runner.isBroken) this.#runner.endBroken();
     const before = this.#parameters.token;
     const result = await this.#runner.run(req);
     if (result.verdict.kind !== 'done')
@@ -215,6 +236,15 @@
     }
   }
 
+  /** Answers for a transaction that is rolled back already. */
+  async #answerBroken(req: RunRequest): Promise<void> {
+    if (!isEnd(req.classification)) {
+      return this.#writeError(TRANSACTION_ABORTED);
+    }
+    this.#runner.endBroken();
+    await req.sink(rollbackAnswer(req.frames));
+  }
+
   #writeVerdict(verdict: Verdict): void {
     if (verdict.kind === 'done') return;
     const fields = toErrorFields(verdict);
@@ -237,13 +267,13 @@
 
   #answerSet(fault: ParameterFault | undefined): void {
     if (fault === undefined) this.#write(commandComplete('SET'));
-    else this.#writeError({severity: 'ERROR', ...fault});
+    else this.#refuse({severity: 'ERROR', ...fault});
   }
 
   #answerShow(name: string): void {
     const value = this.#parameters.show(name);
     if (typeof value !== 'string') {
-      return this.#writeError({severity: 'ERROR', ...value});
+      return this.#refuse({severity: 'ERROR', ...value});
     }
     this.#write(singleValue(name, value));
     this.#write(commandComplete('SHOW'));
@@ -252,17 +282,17 @@
   /** Refuses what is not served; true if it was refused. */
   #refuseLocal(statement: Statement): boolean {
     if (statement.kind === 'unsupported') {
-      this.#writeVerdict(notRun('unsupported', statement.message));
+      this.#refuse(toErrorFields(notRun('unsupported', statement.message)));
       return true;
     }
     if (statement.kind === 'invalid') {
       const {sqlstate, message} = statement;
-      this.#writeError({severity: 'ERROR', sqlstate, message});
+      this.#refuse({severity: 'ERROR', sqlstate, message});
       return true;
     }
     if (statement.kind === 'set' || statement.kind === 'show') {
       const message = `send ${statement.kind.toUpperCase()} as a simple query`;
-      this.#writeVerdict(notRun('unsupported', message));
+      this.#refuse(toErrorFields(notRun('unsupported', message)));
       return true;
     }
     return false;
@@ -287,6 +317,11 @@
     if (!this.#channel.socket.destroyed) this.#channel.socket.write(message);
   }
 
+  #refuse(fields: ErrorFields): void {
+    this.#refused = true;
+    this.#writeError(fields);
+  }
+
   #writeError(fields: ErrorFields): void {
     this.#write(errorResponse(fields));
   }
--- a/src/callers/messages.ts
+++ b/src/callers/messages.ts
@@ -5,13 +5,17 @@
 const TYPE = {
   authentication: 0x52,
   backendKeyData: 0x4b,
+  bindComplete: 0x32,
+  closeComplete: 0x33,
   commandComplete: 0x43,
   dataRow: 0x44,
   emptyQuery: 0x49,
   error: 0x45,
   negotiateVersion: 0x76,
-  notice: 0x4e,
+  noData: 0x6e,
+  parameterDescription: 0x74,
   parameterStatus: 0x53,
+  parseComplete: 0x31,
   readyForQuery: 0x5a,
   rowDescription: 0x54,
 } as const;
@@ -89,6 +93,28 @@
   return new Writer().addCString(tag).flush(TYPE.commandComplete);
 }
 
+export function parseComplete(): Buffer {
+  return new Writer().flush(TYPE.parseComplete);
+}
+
+export function bindComplete(): Buffer {
+  return new Writer().flush(TYPE.bindComplete);
+}
+
+export function closeComplete(): Buffer {
+  return new Writer().flush(TYPE.closeComplete);
+}
+
+/** Says that a statement returns no rows. */
+export function noData(): Buffer {
+  return new Writer().flush(TYPE.noData);
+}
+
+/** Says that a statement takes no parameters. */
+export function noParameters(): Buffer {
+  return new Writer().addInt16(0).flush(TYPE.parameterDescription);
+}
+
 export function emptyQueryResponse(): Buffer {
   return new Writer().flush(TYPE.emptyQuery);
 }
--- a/src/callers/statement-runner.ts
+++ b/src/callers/statement-runner.ts
@@ -28,6 +28,7 @@
   readonly #parameters: SessionParameters;
   #pin: string | undefined;
   #transaction: TransactionStatus = 'idle';
+  #isBroken = false;
 
   constructor(
     deps: SessionDeps,
@@ -43,16 +44,42 @@
     return this.#transaction;
   }
 
+  /**
+   * Whether the transaction was rolled back before the caller ended it. Its
+   * remaining statements must not run outside it.
+   */
+  get isBroken(): boolean {
+    return this.#isBroken;
+  }
+
   /** Runs a batch; every failure is in the result's verdict. */
   async run(req: RunRequest): Promise<ExecResult> {
+    const wasOpen = this.#transaction !== 'idle';
     const result = await this.#admitAndExecute(req);
     this.#transaction = result.transaction;
     this.#pin = result.pin;
+    const isLost = wasOpen && result.pin === undefined;
+    if (isLost && result.verdict.kind !== 'done' && !hasEnd(req)) {
+      this.breakTransaction();
+    }
     if (result.position !== undefined) this.#remember(result.position);
     this.#observe(req, result);
     return result;
   }
 
+  /** Rolls an open transaction back and keeps it failed until its end. */
+  breakTransaction(): void {
+    this.abandon();
+    this.#isBroken = true;
+    this.#transaction = 'failed';
+  }
+
+  /** Forgets a broken transaction at the caller's COMMIT or ROLLBACK. */
+  endBroken(): void {
+    this.#isBroken = false;
+    this.#transaction = 'idle';
+  }
+
   /** Rolls back whatever the session left open. */
   abandon(): void {
     if (this.#pin === undefined) return;
@@ -152,9 +179,16 @@
   transaction: TransactionStatus,
 ): number {
   const {statements} = req.classification;
-  const endsTransaction = (statement: Statement) =>
-    statement.kind === 'commit' || statement.kind === 'rollback';
   if (transaction !== 'idle' && statements.every(endsTransaction)) return 0;
   const begins = statements.filter(({kind}) => kind === 'begin').length;
   return Math.max(1, req.statements) + begins;
 }
+
+function endsTransaction({kind}: Statement): boolean {
+  return kind === 'commit' || kind === 'rollback';
+}
+
+/** Whether a batch would have ended the transaction itself. */
+function hasEnd({classification}: RunRequest): boolean {
+  return classification.statements.some(endsTransaction);
+}
