--- a/src/home/statement-runs.ts
+++ b/src/home/statement-runs.ts
@@ -1,11 +1,15 @@
 /** The batches that run on a group's databases at this moment. */
 import type {Clock} from '../platform/clock.js';
-import type {
-  AnswerObserver,
-  BatchEnd,
-  TargetConnection,
+import {
+  TargetError,
+  type AnswerObserver,
+  type BatchEnd,
+  type TargetConnection,
 } from '../targets/types.js';
 
+/** How long a cancel request may take before its connection is closed. */
+const CANCEL_GRACE_MS = 50;
+
 /** One batch on one connection. */
 export interface StatementRun {
   readonly sessionId: string;
@@ -28,27 +32,42 @@
   }
 
   /**
-   * Runs a batch; past the deadline the connection is closed, so that an answer
-   * nobody waits for can never meet another request.
+   * Runs a batch; past the deadline it is cancelled and the connection closed,
+   * so that an answer nobody waits for can never meet another request and the
+   * database does not go on working for nobody.
    *
    * @throws TargetError `lost` when the deadline passed or the connection ended
    */
   async run(run: StatementRun): Promise<BatchEnd> {
+    const {connection, frames, observer} = run;
     const finished = new AbortController();
-    const leftMs = Math.max(0, run.deadlineAt - this.#clock.now());
-    void this.#clock.sleep(leftMs, finished.signal).then(() => {
-      if (!finished.signal.aborted) run.connection.close();
-    });
     const cancels: Promise<void>[] = [];
+    let expired = false;
+    const expire = async () => {
+      if (finished.signal.aborted) return;
+      expired = true;
+      cancels.push(connection.cancel());
+      await this.#clock.sleep(CANCEL_GRACE_MS, finished.signal);
+      connection.close();
+    };
+    const leftMs = Math.max(0, run.deadlineAt - this.#clock.now());
+    void this.#clock.sleep(leftMs, finished.signal).then(expire);
     this.#running.set(run, cancels);
     try {
-      return await run.connection.run(run.frames, run.observer);
+      const end = await connection.run(frames, {
+        onStart: position => observer.onStart?.(position) ?? true,
+        onFrames: part => (expired ? undefined : observer.onFrames(part)),
+      });
+      if (!expired) return end;
+    } catch (err) {
+      if (!expired) throw err;
     } finally {
       finished.abort();
       this.#running.delete(run);
       // A cancel request still on its way would stop the next batch instead.
-      await Promise.all(cancels);
+      if (connection.usable) await Promise.all(cancels);
     }
+    throw new TargetError('lost', 'no answer came within the deadline');
   }
 
   /** Asks the database to stop what a session runs. */
