--- a/src/home/statement-runs.ts
+++ b/src/home/statement-runs.ts
@@ -1,12 +1,16 @@
 /** The batches that run on a group's databases at this moment. */
 import type {Clock} from '../platform/clock.js';
 import {startTimer} from '../platform/timer.js';
-import type {
-  AnswerObserver,
-  BatchEnd,
-  TargetConnection,
+import {
+  TargetError,
+  type AnswerObserver,
+  type BatchEnd,
+  type TargetConnection,
 } from '../targets/types.js';
 
+/** How long a cancel request may take before its connection is closed. */
+const CANCEL_GRACE_MS = 50;
+
 /** One batch on one connection. */
 export interface StatementRun {
   readonly sessionId: string;
@@ -21,42 +25,63 @@
 /** Runs batches no longer than somebody waits for them. */
 export class StatementRuns {
   readonly #clock: Clock;
-  readonly #running = new Set<StatementRun>();
+  /** What runs, with the cancel requests on their way to each. */
+  readonly #running = new Map<StatementRun, Promise<void>[]>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
   }
 
   /**
-   * Runs a batch; past the deadline the connection is closed, so that an answer
-   * nobody waits for can never meet another request.
+   * Runs a batch; past the deadline it is cancelled and the connection closed,
+   * so that an answer nobody waits for can never meet another request and the
+   * database does not go on working for nobody.
    *
    * @throws TargetError `lost` when the deadline passed or the connection ended
    */
   async run(run: StatementRun): Promise<BatchEnd> {
+    const {connection, frames, observer} = run;
+    const cancels: Promise<void>[] = [];
+    let expired = false;
+    let stopClosing = () => {};
+    const expire = () => {
+      expired = true;
+      cancels.push(connection.cancel());
+      stopClosing = startTimer(this.#clock, CANCEL_GRACE_MS, () =>
+        connection.close(),
+      );
+    };
     const leftMs = run.deadlineAt - this.#clock.now();
-    const cancel = startTimer(this.#clock, leftMs, () =>
-      run.connection.close(),
-    );
-    this.#running.add(run);
+    const stopExpiry = startTimer(this.#clock, leftMs, expire);
+    this.#running.set(run, cancels);
     try {
-      return await run.connection.run(run.frames, run.observer);
+      const end = await connection.run(frames, {
+        onStart: position => observer.onStart?.(position) ?? true,
+        onFrames: part => (expired ? undefined : observer.onFrames(part)),
+      });
+      if (!expired) return end;
+    } catch (err) {
+      if (!expired) throw err;
     } finally {
-      cancel();
+      stopExpiry();
+      stopClosing();
       this.#running.delete(run);
+      // A cancel request still on its way would stop the next batch instead.
+      if (connection.usable) await Promise.all(cancels);
     }
+    throw new TargetError('lost', 'no answer came within the deadline');
   }
 
   /** Asks the database to stop what a session runs. */
   cancel(sessionId: string): void {
-    for (const run of this.#running) {
-      if (run.sessionId === sessionId) void run.connection.cancel();
+    for (const [run, cancels] of this.#running) {
+      if (run.sessionId === sessionId) cancels.push(run.connection.cancel());
     }
   }
 
   /** Gives up what runs on a database that no longer answers. */
   abandon(databaseId: string): void {
-    for (const run of this.#running) {
+    for (const run of this.#running.keys()) {
       if (run.databaseId === databaseId) run.connection.close();
     }
   }
