--- a/src/routing/replica-choice.ts
+++ b/src/routing/replica-choice.ts
@@ -9,6 +9,12 @@
  */
 const REMOTE_COST_PER_SLOT = 1;
 
+/**
+ * How long a read waits for a replica unless its route says otherwise; see
+ * docs/design/sessions.md for the measurement.
+ */
+export const DEFAULT_MAX_WAIT_MS = 25;
+
 /** How much of a route's reads goes to each provider; any scale. */
 export type ProviderWeights = Readonly<Record<Provider, number>>;
 
--- a/test/groups/failover-agent.test.ts
+++ b/test/groups/failover-agent.test.ts
@@ -206,6 +206,16 @@
     expect(group.leader?.term).toBe(2);
   });
 
+  test('orders nothing while it is held', async () => {
+    for (const {agent} of nodes) agent.hold();
+    group.database('db-1').crash();
+    await time.advance(3_000);
+    expect(ordered()).toEqual([]);
+    nodes[0]!.agent.release();
+    await time.advance(1_000);
+    expect(group.leader).toMatchObject({term: 2});
+  });
+
   test('names each attempt anew', () => {
     const names = nodes.flatMap(({agent}) => [
       agent.nextOrderer(),
--- a/test/groups/traces.test.ts
+++ b/test/groups/traces.test.ts
@@ -1,6 +1,7 @@
 import {readdirSync, readFileSync} from 'node:fs';
 import {expect, test} from 'vitest';
-import {ScheduleRun, type Step} from './schedule.js';
+import type {Step} from './actions.js';
+import {ScheduleRun} from './schedule.js';
 
 const TRACES_PATH = 'test/traces';
 
