--- a/demo/profiles.ts
+++ b/demo/profiles.ts
@@ -26,8 +26,8 @@
   small: readonly string[],
 ): readonly TeamProfile[] {
   return [
-    ...large.map(name => ({name, sessions: 12, rate: 400, burst: 200})),
-    ...small.map(name => ({name, sessions: 3, rate: 120, burst: 60})),
+    ...large.map(name => ({name, sessions: 12, rate: 800, burst: 400})),
+    ...small.map(name => ({name, sessions: 3, rate: 250, burst: 120})),
   ];
 }
 
--- a/src/home/answers.ts
+++ b/src/home/answers.ts
@@ -1,5 +1,6 @@
 /** Observers of a database's answers on their way to the caller. */
-import {covers, START_POSITION, type Position} from '../session/position.js';
+import {isReadCurrent} from '../routing/read-router.js';
+import {START_POSITION, type Position} from '../session/position.js';
 import {readErrorFields} from '../targets/frames.js';
 import type {AnswerObserver} from '../targets/types.js';
 import type {PartSink} from './types.js';
@@ -107,9 +108,8 @@
 
   onStart(position: Position | undefined): boolean {
     this.#position = position;
-    const seen = position ?? START_POSITION;
-    const shows = this.#token === undefined || covers(seen, this.#token);
-    this.#stale = !shows || !this.#accepts(seen);
+    const shows = isReadCurrent(position, this.#token);
+    this.#stale = !shows || !this.#accepts(position ?? START_POSITION);
     return true;
   }
 
--- a/src/home/group-databases.ts
+++ b/src/home/group-databases.ts
@@ -4,15 +4,13 @@
 import type {EvidencePort} from '../groups/evidence.js';
 import {FailoverAgent, type FailoverEvent} from '../groups/failover-agent.js';
 import {majorityOf, type GroupView} from '../groups/group-view.js';
-import {GroupMonitor, type StatusReport} from '../groups/monitor.js';
+import {GroupMonitor} from '../groups/monitor.js';
 import type {
   DatabaseControl,
   DatabaseSpec,
   GroupSpec,
 } from '../groups/types.js';
-import {ReplicaAges} from '../routing/replica-ages.js';
-import type {ReadCandidate} from '../routing/replica-choice.js';
-import type {Position} from '../session/position.js';
+import {ReadRouter} from '../routing/read-router.js';
 import type {TargetConnection} from '../targets/types.js';
 import {DatabaseLane} from './database-lane.js';
 import {StatementRuns} from './statement-runs.js';
@@ -39,6 +37,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly spec: GroupSpec;
+  readonly dataCentre: string;
   readonly access: DatabaseAccess;
   readonly evidence: EvidencePort;
   /** Unique to this run of this VM. */
@@ -64,8 +63,9 @@
   readonly agent: FailoverAgent;
   readonly monitor: GroupMonitor;
   readonly runs: StatementRuns;
+  /** Chooses a database for each read. */
+  readonly reads: ReadRouter;
   readonly #stopping = new AbortController();
-  readonly #ages: ReplicaAges;
   readonly #lanes = new Map<string, DatabaseLane>();
 
   constructor(options: GroupDatabasesOptions) {
@@ -86,7 +86,12 @@
       instanceId: options.instanceId,
       onEvent: options.onFailover,
     });
-    this.#ages = new ReplicaAges(spec.databases.length);
+    this.reads = new ReadRouter({
+      clock,
+      monitor: this.monitor,
+      dataCentre: options.dataCentre,
+      outstandingOf: id => this.lane(id)?.outstanding ?? 0,
+    });
     for (const database of spec.databases) {
       this.#lanes.set(
         database.id,
@@ -99,7 +104,6 @@
         }),
       );
     }
-    this.monitor.onReport(report => this.#learn(report));
   }
 
   /** Begins to follow the group and to order its failovers. */
@@ -113,6 +117,7 @@
   stop(): void {
     this.#stopping.abort();
     this.agent.stop();
+    this.reads.stop();
     this.monitor.stop();
     for (const lane of this.#lanes.values()) lane.close();
     for (const control of this.controls) control.close();
@@ -136,31 +141,6 @@
     return possible.length < majorityOf(databases.length);
   }
 
-  /** The databases as candidates for a read that must see `position`. */
-  candidates(position: Position): readonly ReadCandidate[] {
-    const now = this.clock.now();
-    return this.view().databases.map(({spec, reachable}) => ({
-      spec,
-      reachable,
-      applied: this.#ages.appliedOf(spec.id),
-      ageMs: this.#ages.ageMs(spec.id, now),
-      outstanding: this.lane(spec.id)?.outstanding ?? 0,
-      expectedWaitMs: this.#ages.expectedWaitMs(spec.id, position, now),
-    }));
-  }
-
-  /** The age of data that a replica showed just now, at most. */
-  ageOf(databaseId: string, shown: Position): number {
-    const now = this.clock.now();
-    this.#ages.recordReplica(databaseId, shown, now);
-    return this.#ages.ageMs(databaseId, now);
-  }
-
-  /** Notes where the primary was when a batch was sent to it. */
-  notePrimary(position: Position, sentAt: number): void {
-    this.#ages.recordPrimary(position.term, position, sentAt);
-  }
-
   /** Resolves at the next change of primary, or after `ms`. */
   async waitForChange(ms: number, signal: AbortSignal): Promise<void> {
     const changed = new AbortController();
@@ -182,13 +162,4 @@
       }
     }
   }
-
-  #learn({databaseId, status, askedAt, answeredAt}: StatusReport): void {
-    this.#ages.recordFence(databaseId, status.fencedTerm, askedAt);
-    if (status.role === 'primary') {
-      this.#ages.recordPrimary(status.term, status.received, askedAt);
-    } else {
-      this.#ages.recordReplica(databaseId, status.applied, answeredAt);
-    }
-  }
 }
--- a/src/home/group-home.ts
+++ b/src/home/group-home.ts
@@ -14,7 +14,6 @@
 
 /** Settings of a group's home. */
 export interface GroupHomeOptions extends GroupDatabasesOptions {
-  readonly dataCentre: string;
   /** The group's row of the table in force. */
   readonly row: () => GroupRow | undefined;
 }
@@ -46,7 +45,6 @@
     const databases = this.#databases;
     const path = new ReadPath({
       databases,
-      dataCentre: options.dataCentre,
       weights: () => {
         const row = options.row();
         return {old: row?.oldWeight ?? 1, new: row?.newWeight ?? 0};
--- a/src/home/read-path.ts
+++ b/src/home/read-path.ts
@@ -1,10 +1,6 @@
 /** Serves reads: at a replica that the session may read, or the primary. */
-import {
-  chooseTarget,
-  type ProviderWeights,
-  type ReadChoice,
-} from '../routing/replica-choice.js';
-import {START_POSITION, type Position} from '../session/position.js';
+import type {ProviderWeights, ReadChoice} from '../routing/replica-choice.js';
+import type {Position} from '../session/position.js';
 import {TargetError} from '../targets/types.js';
 import {DONE, mayHaveRun, notRun, type Verdict} from '../verdict/verdict.js';
 import {ReadAnswer} from './answers.js';
@@ -23,7 +19,6 @@
 /** What a read path is built from. */
 export interface ReadPathOptions {
   readonly databases: GroupDatabases;
-  readonly dataCentre: string;
   readonly weights: () => ProviderWeights;
 }
 
@@ -75,21 +70,15 @@
   }
 
   #choose(attempt: ReadAttempt, maxWaitMs: number): ReadChoice {
-    const {databases, dataCentre, weights} = this.#options;
+    const {databases, weights} = this.#options;
     const {req, avoid} = attempt;
-    const {primaryId} = databases.view();
-    return chooseTarget({
+    return databases.reads.choose({
       sessionId: req.sessionId,
       position: req.token,
       staleMs: req.staleMs,
       weights: weights(),
-      dataCentre,
-      primaryId:
-        primaryId !== undefined && avoid.has(primaryId) ? undefined : primaryId,
-      candidates: databases
-        .candidates(req.token ?? START_POSITION)
-        .filter(({spec}) => !avoid.has(spec.id)),
       maxWaitMs,
+      avoid,
     });
   }
 
@@ -104,7 +93,8 @@
       req.token,
       attempt.sink,
       shown =>
-        role === 'primary' || databases.ageOf(databaseId, shown) <= req.staleMs,
+        role === 'primary' ||
+        databases.reads.ageOfShown(databaseId, shown) <= req.staleMs,
     );
     const lane = databases.lane(databaseId);
     const {team, priority} = req;
--- a/src/home/write-path.ts
+++ b/src/home/write-path.ts
@@ -148,7 +148,9 @@
         void databases.monitor.refreshNow();
         return undefined;
       }
-      if (end.position) databases.notePrimary(end.position, sentAt);
+      if (end.position) {
+        databases.reads.notePosition(databaseId, end.position, sentAt);
+      }
       const ran = {slot, databaseId, answer, end};
       return await this.#conclude(attempt, ran, undefined);
     } catch (err) {
--- a/src/routing/read-router.ts
+++ b/src/routing/read-router.ts
@@ -19,6 +19,8 @@
   readonly staleMs: number;
   readonly weights: ProviderWeights;
   readonly maxWaitMs: number;
+  /** Databases that failed this read before. */
+  readonly avoid?: ReadonlySet<string>;
 }
 
 /** Settings of a router. */
@@ -73,14 +75,26 @@
 
   choose(request: ReadRequest): ReadChoice {
     const view = this.#monitor.current();
+    const avoided = (id: string | undefined) =>
+      id !== undefined && (request.avoid?.has(id) ?? false);
+    const primaryId = currentPrimary(view, request.position);
     return chooseTarget({
       ...request,
       dataCentre: this.#options.dataCentre,
-      primaryId: currentPrimary(view, request.position),
-      candidates: this.#candidatesFor(view, request),
+      primaryId: avoided(primaryId) ? undefined : primaryId,
+      candidates: this.#candidatesFor(view, request).filter(
+        ({spec}) => !avoided(spec.id),
+      ),
     });
   }
 
+  /** The age, at most, of data that a replica showed just now. */
+  ageOfShown(databaseId: string, shown: Position): number {
+    const now = this.#clock.now();
+    this.#ages.recordReplica(databaseId, shown, now);
+    return this.#ages.ageMs(databaseId, now);
+  }
+
   #candidatesFor(
     view: GroupView,
     {position, staleMs}: ReadRequest,
