--- /dev/null
+++ b/bench/failover.ts
@@ -0,0 +1,221 @@
+/**
+ * `npm run bench -- failover [trials]`: kills, freezes and partitions the
+ * primary under load, with the store up and down.
+ */
+import {checkPromises} from '../demo/checks.js';
+import {Fleet, type FleetDatabase} from '../demo/fleet.js';
+import {longestGap} from '../demo/measures.js';
+import {TASMAN} from '../demo/profiles.js';
+import {READS, WRITES} from '../demo/session-load.js';
+import {fixed, formatTable, pause, quantile} from './figures.js';
+import {RunningLoad} from './load.js';
+
+const DEFAULT_TRIALS = 20;
+const TEAM = 'lodgements';
+const WARM_UP_MS = 2_000;
+const BEFORE_FAULT_MS = 300;
+const AFTER_FAULT_MS = 3_500;
+const FREEZE_MS = 3_000;
+const CATCH_UP_LIMIT_MS = 10_000;
+/** The users' bound on one change of primary. */
+const TARGET_MS = 12_000;
+const AIM_MS = 2_000;
+
+type Fault = 'kill' | 'freeze' | 'partition';
+const FAULTS: readonly Fault[] = ['kill', 'freeze', 'partition'];
+
+interface Trial {
+  readonly fault: Fault;
+  readonly storeUp: boolean;
+  readonly writeGapMs: number;
+  readonly readGapMs: number;
+}
+
+/** Runs the bench and prints its table. */
+export async function run(args: readonly string[]): Promise<void> {
+  const trials = Number(args[0] ?? DEFAULT_TRIALS);
+  for (const ack of ['replica', 'primary'] as const) {
+    await runWith(ack, trials);
+  }
+}
+
+async function runWith(
+  ack: 'replica' | 'primary',
+  trials: number,
+): Promise<void> {
+  const rate = {name: TEAM, rate: 100_000, burst: 100_000};
+  const fleet = await Fleet.start({profile: TASMAN, ack, teams: [rate]});
+  try {
+    const group = TASMAN.groups[0] ?? '';
+    const sessions = [
+      {mix: WRITES, count: 8},
+      {mix: READS, count: 8},
+    ];
+    const load = new RunningLoad({
+      fleet,
+      group,
+      team: TEAM,
+      sessions,
+      paceMs: 10,
+      seed: 1,
+    });
+    await pause(WARM_UP_MS);
+    const results: Trial[] = [];
+    for (let i = 0; i < trials; i++) {
+      for (const fault of FAULTS) {
+        for (const storeUp of [true, false]) {
+          results.push(await runTrial(fleet, load, group, fault, storeUp));
+        }
+      }
+    }
+    await load.stop();
+    await pause(1_000);
+    report(ack, results);
+    await reportLoss(fleet, load);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function runTrial(
+  fleet: Fleet,
+  load: RunningLoad,
+  group: string,
+  fault: Fault,
+  storeUp: boolean,
+): Promise<Trial> {
+  if (!storeUp) await fleet.storeSwitch('outage', {on: true});
+  await pause(BEFORE_FAULT_MS);
+  const primary = await fleet.findPrimary(group);
+  if (primary === undefined) throw new Error(`group ${group} has no primary`);
+  const from = performance.now();
+  await inject(fleet, primary, group, fault);
+  await pause(AFTER_FAULT_MS);
+  const until = performance.now();
+  await repair(fleet, primary, fault);
+  if (!storeUp) await fleet.storeSwitch('outage', {on: false});
+  await waitForReplicas(fleet, group);
+  const during = load.record.completions.filter(
+    ({at}) => at >= from && at <= until,
+  );
+  const gapOf = (kind: 'read' | 'write') =>
+    longestGap([
+      {at: from},
+      ...during.filter(c => c.kind === kind),
+      {at: until},
+    ]);
+  return {fault, storeUp, writeGapMs: gapOf('write'), readGapMs: gapOf('read')};
+}
+
+async function inject(
+  fleet: Fleet,
+  primary: FleetDatabase,
+  group: string,
+  fault: Fault,
+): Promise<void> {
+  if (fault === 'kill') return primary.process.kill();
+  if (fault === 'freeze') {
+    return fleet.databaseSwitch(primary, 'freeze', {ms: FREEZE_MS});
+  }
+  const others = fleet.databases
+    .filter(one => one.group === group && one !== primary)
+    .map(({spec}) => spec.id);
+  return fleet.databaseSwitch(primary, 'partition', {from: others});
+}
+
+async function repair(
+  fleet: Fleet,
+  database: FleetDatabase,
+  fault: Fault,
+): Promise<void> {
+  if (fault === 'kill') {
+    fleet.restartDatabase(database);
+    await database.process.waitFor('state=listening');
+  }
+  if (fault === 'partition') {
+    await fleet.databaseSwitch(database, 'partition', {from: []});
+  }
+}
+
+interface GroupsAnswer {
+  readonly views: readonly {
+    readonly name: string;
+    readonly primaryId?: string;
+    readonly databases: readonly {
+      readonly reachable: boolean;
+      readonly status?: {
+        readonly role: string;
+        readonly received: {readonly term: number; readonly offset: number};
+      };
+    }[];
+  }[];
+}
+
+/** Waits until all three databases follow one primary again. */
+async function waitForReplicas(fleet: Fleet, group: string): Promise<void> {
+  const until = performance.now() + CATCH_UP_LIMIT_MS;
+  while (performance.now() < until) {
+    for (const node of fleet.nodes) {
+      const answer = await fleet.readNode<GroupsAnswer>(node, 'groups');
+      const view = answer.views.find(({name}) => name === group);
+      if (view?.primaryId === undefined) continue;
+      const known = view.databases.map(({status}) => status);
+      const last = Math.max(...known.map(s => s?.received.offset ?? 0));
+      const near = known.every(s => (s?.received.offset ?? 0) > last - 50);
+      if (near && view.databases.every(({reachable}) => reachable)) return;
+    }
+    await pause(50);
+  }
+  throw new Error(`group ${group} did not recover all its databases`);
+}
+
+function report(ack: string, results: readonly Trial[]): void {
+  const rows: string[][] = [];
+  for (const fault of FAULTS) {
+    for (const storeUp of [true, false]) {
+      const of = results.filter(
+        trial => trial.fault === fault && trial.storeUp === storeUp,
+      );
+      const writes = of.map(trial => trial.writeGapMs);
+      const reads = of.map(trial => trial.readGapMs);
+      rows.push([
+        fault,
+        storeUp ? 'up' : 'down',
+        String(of.length),
+        ...[0.5, 0.99, 1].map(share => fixed(quantile(writes, share))),
+        ...[0.5, 0.99, 1].map(share => fixed(quantile(reads, share))),
+      ]);
+    }
+  }
+  const header = [
+    'fault',
+    'store',
+    'runs',
+    'write gap p50 ms',
+    'p99',
+    'max',
+    'read gap p50 ms',
+    'p99',
+    'max',
+  ];
+  console.log(
+    `\nfailover with ack=${ack} (bound ${TARGET_MS} ms, aim ${AIM_MS} ms)`,
+  );
+  console.log(formatTable(header, rows));
+  const worst = Math.max(...results.map(({writeGapMs}) => writeGapMs));
+  console.log(`longest write gap / bound: ${fixed(worst / TARGET_MS, 2)}`);
+}
+
+async function reportLoss(fleet: Fleet, load: RunningLoad): Promise<void> {
+  const {completions, failures, counters} = load.record;
+  const writes = completions.filter(({kind}) => kind === 'write').length;
+  const unknown = counters.reduce((sum, counter) => sum + counter.unknown, 0);
+  console.log(
+    `acknowledged writes: ${writes}; unknown: ${unknown}; refused or failed: ${failures.length - unknown}`,
+  );
+  for (const {promise, violations} of await checkPromises(fleet, load.record)) {
+    console.log(
+      `${violations.length} violations: ${promise}${violations.length > 0 ? ` (${violations.slice(0, 2).join('; ')})` : ''}`,
+    );
+  }
+}
--- /dev/null
+++ b/bench/figures.ts
@@ -0,0 +1,37 @@
+/** Small helpers of the benches: quantiles and tables of text. */
+
+/** The value below which `share` of the values lie; 0 for none. */
+export function quantile(values: readonly number[], share: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  const index = Math.min(sorted.length - 1, Math.floor(sorted.length * share));
+  return sorted[index] ?? 0;
+}
+
+/** Lines of a Markdown table with padded columns. */
+export function formatTable(
+  header: readonly string[],
+  rows: readonly (readonly string[])[],
+): string {
+  const widths = header.map((title, column) =>
+    Math.max(title.length, ...rows.map(row => (row[column] ?? '').length)),
+  );
+  const line = (cells: readonly string[]) =>
+    `| ${cells.map((cell, i) => cell.padEnd(widths[i] ?? 0)).join(' | ')} |`;
+  const rule = `| ${widths.map(width => '-'.repeat(width)).join(' | ')} |`;
+  return [line(header), rule, ...rows.map(line)].join('\n');
+}
+
+/** A number with `digits` decimals. */
+export function fixed(value: number, digits = 0): string {
+  return value.toFixed(digits);
+}
+
+/** A share from 0 to 1 as a percentage. */
+export function percent(share: number, digits = 1): string {
+  return `${(share * 100).toFixed(digits)}%`;
+}
+
+/** Resolves after `ms`. */
+export function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/demo/session-load.ts
+++ b/demo/session-load.ts
@@ -6,8 +6,19 @@
 /** Statements before a session moves to another node. */
 const STATEMENTS_A_CONNECTION = 25;
 const CONNECT_RETRY_MS = 50;
-const WRITE_SHARE = 0.2;
-const TRANSACTION_SHARE = 0.05;
+
+/** How much of a session's statements is what; the rest are reads. */
+export interface LoadMix {
+  readonly writes: number;
+  readonly transactions: number;
+}
+
+/** One write in five, one transaction in twenty. */
+export const MIXED: LoadMix = {writes: 0.2, transactions: 0.05};
+/** Reads only, after one write. */
+export const READS: LoadMix = {writes: 0, transactions: 0};
+/** Writes only. */
+export const WRITES: LoadMix = {writes: 1, transactions: 0};
 
 /** What one session of the load does. */
 export interface SessionLoadOptions {
@@ -19,6 +30,7 @@
   readonly record: LoadRecord;
   /** Milliseconds between two statements on average. */
   readonly paceMs: number;
+  readonly mix?: LoadMix;
   readonly random: () => number;
   readonly isOver: () => boolean;
 }
@@ -107,9 +119,10 @@
 
   async #step(client: pg.Client): Promise<void> {
     if (!this.#created) return this.#createCounter(client);
-    const draw = this.#options.random();
-    if (draw < TRANSACTION_SHARE) return this.#transact(client);
-    if (draw < TRANSACTION_SHARE + WRITE_SHARE) return this.#increment(client);
+    const {mix = MIXED, random} = this.#options;
+    const draw = random();
+    if (draw < mix.transactions) return this.#transact(client);
+    if (draw < mix.transactions + mix.writes) return this.#increment(client);
     return this.#readBack(client);
   }
 
