--- a/src/groups/evidence.ts
+++ b/src/groups/evidence.ts
@@ -13,7 +13,8 @@
 export interface EvidencePort {
   /**
    * Asks two other nodes or more whether they reach a database now. Nodes that
-   * don't answer in time are left out of the result.
+   * don't answer within some 100 ms are left out of the result: a failover
+   * waits for it.
    */
   canReach(groupName: string, databaseId: string): Promise<readonly boolean[]>;
 }
@@ -92,7 +93,7 @@
   if (cause === 'primaryIsolated') {
     return {kind: 'needed', cause, suspectId: primaryId};
   }
-  const others = await evidence.canReach(view.name, primaryId);
+  const others = await evidence.canReach(view.name, primaryId).catch(() => []);
   const against = 1 + others.filter(reached => !reached).length;
   const probers = Math.max(PROBERS, 1 + others.length);
   if (against >= majorityOf(probers)) {
--- a/src/groups/monitor.ts
+++ b/src/groups/monitor.ts
@@ -141,17 +141,22 @@
 
   async #ask(watched: Watched): Promise<void> {
     const askedAt = this.#clock.now();
+    let status: DatabaseStatus;
     try {
-      const status = await watched.control.status(this.#timeoutMs);
-      this.#noteAnswer(watched, status, askedAt);
+      status = await watched.control.status(this.#timeoutMs);
     } catch {
-      const spentMs = this.#clock.now() - askedAt;
-      if (spentMs > this.#timeoutMs + STALL_MS) {
-        watched.unansweredSince = undefined;
-        return;
-      }
-      watched.unansweredSince ??= askedAt;
+      this.#noteSilence(watched, askedAt);
+      return;
     }
+    this.#noteAnswer(watched, status, askedAt);
+  }
+
+  #noteSilence(watched: Watched, askedAt: number): void {
+    const spentMs = this.#clock.now() - askedAt;
+    const stoodStill = spentMs > this.#timeoutMs + STALL_MS;
+    watched.unansweredSince = stoodStill
+      ? undefined
+      : (watched.unansweredSince ?? askedAt);
   }
 
   #noteAnswer(watched: Watched, status: DatabaseStatus, askedAt: number): void {
--- a/src/routing/read-rules.ts
+++ b/src/routing/read-rules.ts
@@ -64,19 +64,19 @@
 /** Functions known to change nothing. */
 const READ_FUNCTIONS: ReadonlySet<string> = new Set(
   `abs age array_agg array_length array_to_string avg bit_and bit_or bool_and
-  bool_or btrim ceil ceiling char_length character_length concat concat_ws count
+  bool_or btrim ceil ceiling char_length character_length clock_timestamp concat concat_ws count
   cume_dist current_database current_schema date date_part date_trunc
-  dense_rank every exp extract first_value floor format generate_series
+  dense_rank every exp extract first_value floor format gen_random_uuid generate_series
   initcap json_agg json_array_length json_build_array json_build_object
   json_object_agg jsonb_agg jsonb_array_length jsonb_build_array
   jsonb_build_object jsonb_object_agg lag last_value lead left length ln log
   lower lpad ltrim make_date max md5 min mod now nth_value ntile numeric
   octet_length overlay percent_rank pg_is_in_recovery pg_sleep position power
-  rank regexp_match regexp_replace repeat replace reverse right round
-  row_number row_to_json rpad rtrim sign split_part sqrt stddev
+  random rank regexp_match regexp_replace repeat replace reverse right round
+  row_number row_to_json rpad rtrim sign split_part sqrt statement_timestamp stddev
   stddev_pop stddev_samp string_agg string_to_array strpos substr substring
   sum timezone to_char to_date to_json to_jsonb to_number to_timestamp
-  translate trim trunc unnest upper var_pop var_samp variance version
+  transaction_timestamp translate trim trunc unnest upper var_pop var_samp variance version
   width_bucket`.split(/\s+/),
 );
 
--- /dev/null
+++ b/test/groups/evidence.test.ts
@@ -0,0 +1,119 @@
+import {describe, expect, test} from 'vitest';
+import {assessNeed, suspect} from '../../src/groups/evidence.js';
+import {groupViewOf, type DatabaseView} from '../../src/groups/group-view.js';
+import type {DatabaseStatus} from '../../src/groups/types.js';
+
+const POSITION = {term: 1, offset: 1};
+
+interface Overrides extends Partial<DatabaseStatus> {
+  readonly unreachableMs?: number;
+  readonly ageMs?: number;
+  readonly unknown?: boolean;
+}
+
+function database(number: number, overrides: Overrides = {}): DatabaseView {
+  const {unreachableMs = 0, ageMs = 100, unknown, ...status} = overrides;
+  return {
+    spec: {
+      id: `db-${number}`,
+      host: '127.0.0.1',
+      port: 5432,
+      dataCentre: 'hobart',
+      provider: 'old',
+      slots: 2,
+      maxConnections: 16,
+    },
+    status: unknown
+      ? undefined
+      : {
+          role: number === 1 ? 'primary' : 'replica',
+          term: 1,
+          fencedTerm: 1,
+          fencedBy: 'initial',
+          received: POSITION,
+          applied: POSITION,
+          upstreamSilentMs: number === 1 ? 0 : 20,
+          ...status,
+        },
+    ageMs,
+    reachable: !unknown && unreachableMs === 0,
+    unreachableMs,
+  };
+}
+
+function view(...overrides: readonly Overrides[]) {
+  return groupViewOf(
+    'claims',
+    overrides.map((each, i) => database(i + 1, each)),
+  );
+}
+
+const UNREACHABLE = view({unreachableMs: 650}, {}, {});
+
+describe('suspect', () => {
+  test.each([
+    ['a healthy group', view({}, {}, {}), 'healthy'],
+    [
+      'a primary away for 500 ms',
+      view({unreachableMs: 500}, {}, {}),
+      'healthy',
+    ],
+    ['one silent replica', view({}, {upstreamSilentMs: 900}, {}), 'healthy'],
+    ['too few databases', view({}, {unreachableMs: 1}, {ageMs: 900}), 'blind'],
+    ['nothing known yet', view({unknown: true}, {unknown: true}, {}), 'blind'],
+    [
+      'an unknown primary that replicas hear',
+      view({unknown: true}, {}, {}),
+      'healthy',
+    ],
+  ])('finds nothing to order: %s', (_, given, kind) => {
+    expect(suspect(given).kind).toBe(kind);
+  });
+
+  const silent = {upstreamSilentMs: 900};
+  const fenced = {fencedTerm: 2};
+
+  test.each([
+    ['primaryUnreachable', UNREACHABLE],
+    ['primaryIsolated', view({}, silent, silent)],
+    ['noPrimary', view({role: 'replica'}, {}, {})],
+    ['noPrimary', view({unknown: true}, silent, silent)],
+    ['noPrimary', view({}, fenced, fenced)],
+    ['unfinishedFence', view({}, fenced, {})],
+  ])('suspects %s', (cause, given) => {
+    expect(suspect(given)).toEqual({kind: 'suspected', cause});
+  });
+});
+
+describe('assessNeed', () => {
+  test.each([
+    ['two others fail too', [false, false], 'needed'],
+    ['one of two others fails too', [false, true], 'needed'],
+    ['the others reach it', [true, true], 'linkFault'],
+    ['one other answers and reaches it', [true], 'linkFault'],
+    ['no other answers', [], 'linkFault'],
+    ['two of four others fail too', [false, false, true, true], 'needed'],
+    ['one of four others fails too', [false, true, true, true], 'linkFault'],
+  ])('when %s', async (_, answers, kind) => {
+    const evidence = {canReach: () => Promise.resolve(answers)};
+    expect((await assessNeed(UNREACHABLE, evidence)).kind).toBe(kind);
+  });
+
+  test('takes a failed question for no answer', async () => {
+    const evidence = {canReach: () => Promise.reject(new Error('no peers'))};
+    expect(await assessNeed(UNREACHABLE, evidence)).toEqual({
+      kind: 'linkFault',
+      databaseId: 'db-1',
+    });
+  });
+
+  test('asks nobody about what the databases say themselves', async () => {
+    const evidence = {canReach: () => Promise.reject(new Error('asked'))};
+    const silent = {upstreamSilentMs: 900};
+    expect(await assessNeed(view({}, silent, silent), evidence)).toEqual({
+      kind: 'needed',
+      cause: 'primaryIsolated',
+      suspectId: 'db-1',
+    });
+  });
+});
--- a/test/routing/classify.test.ts
+++ b/test/routing/classify.test.ts
@@ -22,6 +22,7 @@
   'select (select max(x) from u where u.id = t.id) from t join v using (id)',
   'select rank() over (partition by a order by b) from t',
   'select case when x > 1 then array[1, 2] else null end from t',
+  'select random(), gen_random_uuid(), clock_timestamp()',
   'explain select 1',
   'explain (analyze) select 1',
   'show server_version',
