--- a/src/membership/known-vm.ts
+++ b/src/membership/known-vm.ts
@@ -25,7 +25,7 @@
 
 /** A VM of which nobody has spoken yet. */
 export function createKnownVm(record: VmRecord, listing: Listing): KnownVm {
-  const identity = {instance: '', incarnation: -1, status: 'alive'} as const;
+  const identity = {instance: '', incarnation: 0, status: 'alive'} as const;
   return {record, identity, listing, isDoubtful: false, statusForMs: 0};
 }
 
@@ -49,7 +49,12 @@
 }
 
 /** What other nodes are told of a VM. */
-export function toDelta({record, identity, listing}: KnownVm): MemberDelta {
-  const delta = {id: record.id, ...identity};
-  return listing === 'unlisted' ? {...delta, record} : delta;
+export function toDelta(vm: KnownVm): MemberDelta {
+  const {record, identity, listing, isDoubtful} = vm;
+  return {
+    id: record.id,
+    ...identity,
+    ...(listing === 'unlisted' ? {record} : {}),
+    ...(isDoubtful ? {doubtful: true} : {}),
+  };
 }
--- a/src/membership/member-changes.ts
+++ b/src/membership/member-changes.ts
@@ -42,7 +42,6 @@
    */
   take(
     fleetSize: number,
-    maySend: (id: string) => boolean,
     isUrgent: (id: string) => boolean,
   ): readonly string[] {
     const limit = SENDS_PER_DOUBLING * Math.ceil(Math.log2(fleetSize + 1));
@@ -52,7 +51,6 @@
       if (spent) this.#changes.delete(id);
     }
     const chosen = [...this.#changes]
-      .filter(([id]) => maySend(id))
       .sort(
         ([idA, a], [idB, b]) =>
           Number(isUrgent(idB)) - Number(isUrgent(idA)) ||
--- a/src/membership/member-digest.ts
+++ b/src/membership/member-digest.ts
@@ -5,7 +5,7 @@
 import type {MemberChanges} from './member-changes.js';
 import {rendezvousScore} from './rendezvous.js';
 
-/** Chooses what to tell; what is doubtful is kept to itself. */
+/** Chooses what to tell. */
 export class MemberDigest {
   readonly #vms: ReadonlyMap<string, KnownVm>;
   readonly #changes: MemberChanges;
@@ -23,12 +23,11 @@
 
   /** Recent changes for the next message. */
   takeDeltas(): readonly MemberDelta[] {
-    const maySend = (id: string) => this.#vms.get(id)?.isDoubtful === false;
     // A refutation must overtake the suspicion that it answers.
     const isUrgent = (id: string) =>
       this.#vms.get(id)?.identity.status === 'alive';
-    const ids = this.#changes.take(this.#vms.size, maySend, isUrgent);
-    return ids.map(id => toDelta(this.#vms.get(id)!));
+    const ids = this.#changes.take(this.#vms.size, isUrgent);
+    return this.#toDeltas(ids);
   }
 
   /** Listed VMs that are not alive, for a node that has missed some. */
@@ -52,12 +51,16 @@
     return this.#checksum;
   }
 
+  #toDeltas(ids: readonly string[]): readonly MemberDelta[] {
+    return ids.flatMap(id => {
+      const vm = this.#vms.get(id);
+      return vm === undefined ? [] : [toDelta(vm)];
+    });
+  }
+
   #down(): KnownVm[] {
     return [...this.#vms.values()].filter(
-      vm =>
-        vm.listing === 'listed' &&
-        vm.identity.status !== 'alive' &&
-        !vm.isDoubtful,
+      vm => vm.listing === 'listed' && vm.identity.status !== 'alive',
     );
   }
 }
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -26,6 +26,8 @@
   readonly id: string;
   /** Present if the other node may not know the VM from the list. */
   readonly record?: VmRecord;
+  /** Set if the sender heard no majority and may itself be at fault. */
+  readonly doubtful?: true;
 }
 
 const STATUS_RANK: Readonly<Record<MemberStatus, number>> = {
--- a/src/membership/members.ts
+++ b/src/membership/members.ts
@@ -149,7 +149,9 @@
     const vm = this.#vms.get(delta.id) ?? this.#introduce(delta);
     if (vm === undefined || !supersedes(delta, vm.identity)) return;
     if (isOldSuspicion(delta, vm.identity)) return;
-    vm.isDoubtful = false;
+    const isDoubtful = delta.doubtful === true;
+    if (isDoubtful && this.isCredible) return;
+    vm.isDoubtful = isDoubtful;
     const {instance, incarnation, status} = delta;
     // A death by hearsay is only suspected, so that the VM may refute it.
     this.#set(vm, {
@@ -269,12 +271,12 @@
   }
 
   #set(vm: KnownVm, identity: MemberIdentity): void {
-    const {incarnation, status} = vm.identity;
+    const {instance, status} = vm.identity;
     vm.identity = identity;
     if (identity.status === 'alive') vm.isDoubtful = false;
     const changed = identity.status !== status;
     // That a listed VM runs for the first time is no news to anyone.
-    const isNews = incarnation >= 0 || vm.listing === 'unlisted';
+    const isNews = instance !== '' || vm.listing === 'unlisted';
     if (changed || isNews) this.#changes.note(vm.record.id);
     if (!changed) return this.#digest.clear();
     vm.statusForMs = 0;
--- a/test/membership/islands.test.ts
+++ b/test/membership/islands.test.ts
@@ -73,3 +73,19 @@
   }
   expect(seen).toEqual(new Set(['current', 'outage']));
 }, 120_000);
+
+it('lets a minority that reaches the store find its own homes', async () => {
+  fleet = new Fleet({size: SIZE});
+  fleet.startAll();
+  await fleet.clock.advance(8_000);
+  const island = fleet.records
+    .filter(vm => vm.dataCentre === 'dc-b')
+    .map(vm => vm.id);
+  fleet.net.partition(island);
+  const startMs = fleet.clock.now();
+  const isSettled = () =>
+    island.every(id => fleet.node(id).members.live().length === 25);
+  expect(await fleet.clock.advanceUntil(isSettled, 60_000, 100)).toBe(true);
+  console.log(`island settled after ${fleet.clock.now() - startMs} ms`);
+  expect(standings(fleet.ids())).toEqual({current: SIZE});
+}, 120_000);
