--- a/src/membership/heard-table.ts
+++ b/src/membership/heard-table.ts
@@ -75,6 +75,11 @@
     return Math.floor((heard * this.#listedCount) / this.#sample.length);
   }
 
+  /** Whether more than half of the listed VMs were heard within `ms`. */
+  hearsMajority(ms: number): boolean {
+    return 2 * this.countWithin(ms) > this.#listedCount;
+  }
+
   /** The ages for another node. */
   toAges(): HeardAges {
     const ages = this.#sample.map(id =>
--- a/src/membership/members.ts
+++ b/src/membership/members.ts
@@ -5,6 +5,7 @@
 import {MemberView, type HomeOrderOptions} from './member-view.js';
 import {createKnownVm, isLive, toMember, type KnownVm} from './known-vm.js';
 import {HeardTable} from './heard-table.js';
+import {isOldSuspicion, resolveStatus} from './status-rules.js';
 import {MemberChanges} from './member-changes.js';
 import {MemberDigest} from './member-digest.js';
 import {
@@ -13,7 +14,6 @@
   type Member,
   type MemberDelta,
   type MemberIdentity,
-  type MemberStatus,
 } from './member.js';
 
 /** How long a suspicion waits for its refutation. */
@@ -52,13 +52,9 @@
     this.#changes = new MemberChanges(options.clock);
     this.#digest = new MemberDigest(this.#vms, this.#changes);
     const {self, instance} = options;
-    this.#vms.set(self.id, {
-      record: self,
-      identity: {instance, incarnation: 0, status: 'alive'},
-      listing: 'unlisted',
-      isDoubtful: false,
-      statusForMs: 0,
-    });
+    const vm = createKnownVm(self, 'unlisted');
+    vm.identity = {...vm.identity, instance};
+    this.#vms.set(self.id, vm);
     this.#changes.note(self.id);
   }
 
@@ -121,11 +117,6 @@
     return this.#heard.countWithin(ms);
   }
 
-  /** Whether more than half of the listed VMs were heard of within `ms`. */
-  hearsMajority(ms: number): boolean {
-    return 2 * this.heardWithin(ms) > this.#heard.listedCount;
-  }
-
   /** Takes the platform's list; older revisions are ignored. */
   applyList(records: readonly VmRecord[], revision: number): void {
     if (revision <= this.#listRevision) return;
@@ -176,7 +167,7 @@
 
   /** Whether this node hears enough of the others to judge one of them. */
   get isCredible(): boolean {
-    return this.hearsMajority(CREDIBLE_HEARD_MS);
+    return this.#heard.hearsMajority(CREDIBLE_HEARD_MS);
   }
 
   /**
@@ -195,10 +186,13 @@
   /** Lets `elapsedMs` of this node's running time pass for each status. */
   passTime(elapsedMs: number): void {
     const {isCredible} = this;
+    const suspicionMs = this.#options.suspicionMs ?? DEFAULT_SUSPICION_MS;
     for (const [id, vm] of this.#vms) {
       if (id === this.selfId) continue;
       vm.statusForMs += elapsedMs;
-      const status = this.#resolveStatus(vm, isCredible);
+      const heardAgeMs = this.#heard.ageMs(id);
+      const evidence = {isCredible, heardAgeMs, suspicionMs};
+      const status = resolveStatus(vm, evidence);
       if (status !== vm.identity.status) {
         vm.isDoubtful = !isCredible;
         this.#set(vm, {...vm.identity, status});
@@ -221,18 +215,6 @@
     return () => this.#listeners.delete(listener);
   }
 
-  /** What has become of a VM by the passing of time. */
-  #resolveStatus(vm: KnownVm, isCredible: boolean): MemberStatus {
-    const {status} = vm.identity;
-    if (status !== 'suspect' && status !== 'dead') return status;
-    // Back among the majority: probe anew what failed while this node was not.
-    if (isCredible && vm.isDoubtful) return 'alive';
-    // It has answered some node since: no need for it to refute this.
-    if (this.#heard.ageMs(vm.record.id) < vm.statusForMs) return 'alive';
-    const limitMs = this.#options.suspicionMs ?? DEFAULT_SUSPICION_MS;
-    return vm.statusForMs >= limitMs ? 'dead' : status;
-  }
-
   #applyRecord(record: VmRecord): void {
     const known = this.#vms.get(record.id);
     if (known === undefined) {
@@ -289,12 +271,3 @@
     for (const listener of this.#listeners) listener();
   }
 }
-
-/** Whether a death adds nothing to a suspicion whose time is running. */
-function isOldSuspicion(next: MemberIdentity, current: MemberIdentity) {
-  return (
-    next.status === 'dead' &&
-    current.status === 'suspect' &&
-    next.incarnation === current.incarnation
-  );
-}
