--- a/src/home/group-home.ts
+++ b/src/home/group-home.ts
@@ -120,15 +120,21 @@
   }
 
   /** Makes a database primary by the operator's order. */
-  switchTo(targetDatabaseId: string): Promise<SwitchResult> {
-    const {controls, agent} = this.#databases;
-    return switchPrimary({
-      clock: this.#clock,
-      controls,
-      targetDatabaseId,
-      hold: this.#gate,
-      nextOrderer: () => agent.nextOrderer(),
-    });
+  async switchTo(targetDatabaseId: string): Promise<SwitchResult> {
+    const {controls, agent, monitor} = this.#databases;
+    agent.hold();
+    try {
+      return await switchPrimary({
+        clock: this.#clock,
+        controls,
+        targetDatabaseId,
+        hold: this.#gate,
+        nextOrderer: () => agent.nextOrderer(),
+      });
+    } finally {
+      agent.release();
+      await monitor.refreshNow();
+    }
   }
 
   async #write(attempt: WriteAttempt): Promise<ExecResult> {
--- a/src/home/home-service.ts
+++ b/src/home/home-service.ts
@@ -21,7 +21,8 @@
 /** A home that nobody uses and that belongs elsewhere is closed after this. */
 const RETIRE_IDLE_MS = 30_000;
 const REVIEW_PERIOD_MS = 1_000;
-const REACH_TIMEOUT_MS = 400;
+/** A failover waits for this answer. */
+const REACH_TIMEOUT_MS = 150;
 /** Share of a database's connections for the first home, and for any other. */
 const FIRST_HOME_SHARE = 0.75;
 const OTHER_HOME_SHARE = 0.25;
--- a/src/node/peer-ports.ts
+++ b/src/node/peer-ports.ts
@@ -14,7 +14,7 @@
 
 /** The peer method of the budgets. */
 export const BUDGET_METHOD = 'budget';
-const EVIDENCE_TIMEOUT_MS = 600;
+const EVIDENCE_TIMEOUT_MS = 250;
 const INSTANCE_SEPARATOR = '/';
 /** Other nodes asked whether they reach a database. */
 const WITNESSES = 2;
