--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -292,7 +292,9 @@
 
   #spawnNode(node: FleetNode): FleetProcess {
     const {logLevel = 'info', env = {}} = this.#options;
-    const seeds = this.nodes.map(({peerPort}) => `${HOST}:${peerPort}`);
+    const seeds = this.nodes.map(
+      ({vm, peerPort}) => `${vm}@${HOST}:${peerPort}`,
+    );
     return new FleetProcess('src/cli/main.js', ['node'], {
       ZINNIA_VM: node.vm,
       ZINNIA_DATA_CENTRE: node.dataCentre,
--- a/src/home/statement-runs.ts
+++ b/src/home/statement-runs.ts
@@ -1,5 +1,6 @@
 /** The batches that run on a group's databases at this moment. */
 import type {Clock} from '../platform/clock.js';
+import {startTimer} from '../platform/timer.js';
 import {
   TargetError,
   type AnswerObserver,
@@ -40,18 +41,16 @@
    */
   async run(run: StatementRun): Promise<BatchEnd> {
     const {connection, frames, observer} = run;
-    const finished = new AbortController();
     const cancels: Promise<void>[] = [];
     let expired = false;
-    const expire = async () => {
-      if (finished.signal.aborted) return;
+    const leftMs = run.deadlineAt - this.#clock.now();
+    let stopTimer = startTimer(this.#clock, leftMs, () => {
       expired = true;
       cancels.push(connection.cancel());
-      await this.#clock.sleep(CANCEL_GRACE_MS, finished.signal);
-      connection.close();
-    };
-    const leftMs = Math.max(0, run.deadlineAt - this.#clock.now());
-    void this.#clock.sleep(leftMs, finished.signal).then(expire);
+      stopTimer = startTimer(this.#clock, CANCEL_GRACE_MS, () =>
+        connection.close(),
+      );
+    });
     this.#running.set(run, cancels);
     try {
       const end = await connection.run(frames, {
@@ -62,7 +61,7 @@
     } catch (err) {
       if (!expired) throw err;
     } finally {
-      finished.abort();
+      stopTimer();
       this.#running.delete(run);
       // A cancel request still on its way would stop the next batch instead.
       if (connection.usable) await Promise.all(cancels);
