--- a/src/home/statement-runs.ts
+++ b/src/home/statement-runs.ts
@@ -43,16 +43,14 @@
     const {connection, frames, observer} = run;
     const cancels: Promise<void>[] = [];
     let expired = false;
-    let stopClosing = () => {};
-    const expire = () => {
+    const leftMs = run.deadlineAt - this.#clock.now();
+    let stopTimer = startTimer(this.#clock, leftMs, () => {
       expired = true;
       cancels.push(connection.cancel());
-      stopClosing = startTimer(this.#clock, CANCEL_GRACE_MS, () =>
+      stopTimer = startTimer(this.#clock, CANCEL_GRACE_MS, () =>
         connection.close(),
       );
-    };
-    const leftMs = run.deadlineAt - this.#clock.now();
-    const stopExpiry = startTimer(this.#clock, leftMs, expire);
+    });
     this.#running.set(run, cancels);
     try {
       const end = await connection.run(frames, {
@@ -63,8 +61,7 @@
     } catch (err) {
       if (!expired) throw err;
     } finally {
-      stopExpiry();
-      stopClosing();
+      stopTimer();
       this.#running.delete(run);
       // A cancel request still on its way would stop the next batch instead.
       if (connection.usable) await Promise.all(cancels);
