--- a/standins/database/replication-follower.ts
+++ b/standins/database/replication-follower.ts
@@ -118,7 +118,9 @@
         continue;
       }
       if (!this.#member.accept(answer)) return;
-      previous = log.last;
+      // Not the log's end, which may be a tail that the primary does not have.
+      const end = answer.previous.offset + answer.entries.length;
+      previous = log.positionAt(end);
     }
   }
 
--- a/test/standins/database-group.test.ts
+++ b/test/standins/database-group.test.ts
@@ -4,6 +4,7 @@
 import {PgDatabaseControl} from '../../src/targets/database-control.js';
 import {PgTargetConnection} from '../../src/targets/pg-connection.js';
 import {queryRows} from '../../src/targets/query-rows.js';
+import {MAX_BATCH_ENTRIES} from '../../standins/database/replication-messages.js';
 import {
   createDatabaseGroup,
   type Database,
@@ -159,6 +160,24 @@
     });
   });
 
+  it('truncates a tail that follows more entries than one batch', async () => {
+    const [, first, second] = await start();
+    const old = await connect(0);
+    const shared = MAX_BATCH_ENTRIES + 10;
+    for (let i = 0; i < shared; i++) await queryRows(old, insert(`kept ${i}`));
+    const kept = {term: 1, offset: shared + 1};
+    await first.confirm(1, kept, TIMEOUT_MS);
+    await second.confirm(1, kept, TIMEOUT_MS);
+    await order(0, 'partition', {from: ['db2', 'db3']});
+    await queryRows(old, insert('lost'));
+    await first.fence(2, 'vm1', TIMEOUT_MS);
+    await second.fence(2, 'vm1', TIMEOUT_MS);
+    expect(await first.promote(2, 'vm1', TIMEOUT_MS)).toBe(true);
+    await order(0, 'partition', {from: []});
+    await until(() => databases[0]!.member.applied.term === 2);
+    expect(await ids(old)).not.toContain('lost');
+  });
+
   it('applies all it received before it leads', async () => {
     const [, replica] = await start({lagMs: 60_000});
     await queryRows(await connect(0), insert('a'));
