--- a/src/peers/peer-pool.ts
+++ b/src/peers/peer-pool.ts
@@ -98,6 +98,7 @@
     body: unknown,
     options: CallOptions,
   ): Promise<unknown> {
+    this.#checkOpen();
     const startMs = this.#clock.now();
     let link = await this.#waitFor(this.#link(to), to, options);
     if (!link.usable) {
@@ -111,6 +112,7 @@
     to: PeerAddress,
     options: ConnectOptions,
   ): Promise<PeerSession> {
+    this.#checkOpen();
     const opening = PeerLink.open({...this.#linkOptions, peer: to});
     try {
       return await this.#waitFor(opening, to, options);
@@ -132,10 +134,12 @@
     }
   }
 
+  #checkOpen(): void {
+    if (!this.#closed.signal.aborted) return;
+    throw new PeerError('notSent', 'this node is closing its connections');
+  }
+
   #link(to: PeerAddress): Promise<PeerLink> {
-    if (this.#closed.signal.aborted) {
-      return Promise.reject(new PeerError('notSent', 'this node is closing'));
-    }
     const existing = this.#entries.get(to.id);
     if (existing !== undefined && isCurrent(existing, to)) {
       return existing.opening;
--- a/test/peers/calls.test.ts
+++ b/test/peers/calls.test.ts
@@ -196,6 +196,17 @@
     expect(await pool.call(server.address, 'echo', 2, LIMIT)).toBe(2);
   });
 
+  it('sends nothing once the pool is closed', async () => {
+    const {server} = await startServer({echo: async body => body});
+    const pool = startPool();
+    await pool.call(server.address, 'echo', 1, LIMIT);
+    pool.close();
+    const {address} = server;
+    const call = await failureOf(pool.call(address, 'echo', 2, LIMIT));
+    const fresh = await failureOf(pool.openFresh(address, LIMIT));
+    expect([call.kind, fresh.kind]).toEqual(['notSent', 'notSent']);
+  });
+
   it('does not call a node that answers under another id', async () => {
     const {server} = await startServer({echo: async body => body});
     const other = {...server.address, id: 'vm-c'};
