--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -59,7 +59,6 @@
   #predecessors: readonly string[] = [];
   #calls = 0;
   #syncing: Promise<void> | undefined;
-  #asking = false;
   #waiting = 0;
 
   constructor(deps: TeamBudgetDeps) {
@@ -176,12 +175,21 @@
     if (this.#limits().burst < 1) {
       return {kind: 'refused', retryAfterMs: MAX_RETRY_MS};
     }
-    const ownMs = this.#owner?.msUntilToken() ?? this.#holder.msUntilToken();
-    const dueMs = Math.min(ownMs, this.#schedule.msUntilOwnerHasToken());
+    const dueMs = this.#msUntilToken();
     const boundedMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, dueMs));
     return {kind: 'refused', retryAfterMs: Math.ceil(boundedMs)};
   }
 
+  #msUntilToken(): number {
+    const owner = this.#owner;
+    if (owner === undefined) {
+      const ownerMs = this.#schedule.msUntilOwnerHasToken();
+      return Math.min(this.#holder.msUntilToken(), ownerMs);
+    }
+    const poolMs = owner.msUntilToken();
+    return poolMs === Infinity ? 1_000 / this.#limits().rate : poolMs;
+  }
+
   /** Waits for one ask, together with all statements that wait for it. */
   async #replenish(deadlineMs: number): Promise<void> {
     const {clock} = this.#deps;
@@ -202,22 +210,18 @@
 
   async #ask(timeoutMs: number): Promise<void> {
     if (this.#owner !== undefined) return this.#owner.recallTokens(1);
-    if (this.#syncing !== undefined) {
-      const joined = this.#asking;
-      await this.#syncing;
-      if (joined) return;
-    }
-    if (this.#holder.tokens >= this.#waiting) return;
+    // The message under way may not count this statement.
+    if (this.#syncing !== undefined) await this.#syncing;
+    const isServed = this.#holder.tokens >= this.#waiting;
+    if (isServed || !this.#schedule.mayAsk()) return;
     await this.#sync('ask', timeoutMs);
   }
 
   /** Exchanges one message with the owner; calls join the one under way. */
   async #sync(purpose: SyncPurpose, timeoutMs: number): Promise<void> {
     if (this.#syncing !== undefined) return this.#syncing;
-    this.#asking = purpose === 'ask';
     this.#syncing = this.#exchange(purpose, timeoutMs).finally(() => {
       this.#syncing = undefined;
-      this.#asking = false;
     });
     return this.#syncing;
   }
@@ -245,7 +249,7 @@
     purpose: SyncPurpose,
     timeoutMs: number,
   ): Promise<BudgetReply | undefined> {
-    const message = this.#holder.beginSync(purpose, this.#context());
+    const message = this.#holder.beginSync(purpose, this.#context(purpose));
     this.#schedule.sent(message.demand);
     try {
       const reply = await this.#deps.peers.call(to, message, timeoutMs);
@@ -390,13 +394,13 @@
     );
   }
 
-  #context(): SyncContext {
+  #context(purpose: SyncPurpose = 'report'): SyncContext {
     return {
       team: this.#deps.team,
       holder: this.#deps.self.instance,
       seq: this.#deps.nextSeq(),
       knownEpoch: this.#ownership.epoch,
-      demand: this.#meter.perSecond,
+      demand: purpose === 'release' ? 0 : this.#meter.perSecond,
       waiting: this.#waiting,
     };
   }
--- a/src/admission/team-owner.ts
+++ b/src/admission/team-owner.ts
@@ -34,9 +34,9 @@
 const MAX_RECALLS = 8;
 /** Pause between two rounds of recalls that brought too little. */
 const RECALL_PAUSE_MS = 25;
-const FRUITFUL_RECALL_TOKENS = 4;
+const FRUITFUL_RECALL_TOKENS = 2;
 /** A round brings tokens for this long ahead, so that rounds are few. */
-const RECALL_AHEAD_S = 0.02;
+const RECALL_AHEAD_S = 0.1;
 /** An asking node is given tokens for this long ahead, if there are plenty. */
 const ASK_AHEAD_S = 0.25;
 /** The part of the owner's tokens that may be given ahead of need. */
