--- a/src/admission/team-holder.ts
+++ b/src/admission/team-holder.ts
@@ -134,9 +134,12 @@
     const ahead = context.demand * KEEP_AHEAD_S + context.waiting;
     const spare = Math.max(tokens / 2, tokens - ahead);
     const given = Math.max(0, Math.min(recall.tokens, spare));
+    const {rate, burst} = this.#share;
+    const left = Math.max(0, burst - unitsFor(given, limits));
+    // A rate that its burst can't hold for long would run over unused.
     const rest = {
-      rate: this.#share.rate,
-      burst: Math.max(0, this.#share.burst - unitsFor(given, limits)),
+      rate: burst > 0 ? Math.floor(rate * (left / burst)) : rate,
+      burst: left,
     };
     return this.#lowerTo(minShare(rest, recall.target), given, context);
   }
--- /dev/null
+++ b/test/admission/team-holder.test.ts
@@ -0,0 +1,117 @@
+import {expect, test} from 'vitest';
+import {NO_SHARE, WHOLE} from '../../src/admission/share.js';
+import {SpendGuard} from '../../src/admission/spend-guard.js';
+import {TeamHolder} from '../../src/admission/team-holder.js';
+import type {GrantReply, Share, Standing} from '../../src/admission/types.js';
+import {ManualClock} from './manual-clock.js';
+
+const LIMITS = {rate: 100, burst: 50};
+const HALF: Share = {rate: WHOLE.rate / 2, burst: WHOLE.burst / 2};
+const CONTEXT = {
+  team: 'assessors',
+  holder: 'i1',
+  knownEpoch: 2,
+  demand: 10,
+  waiting: 1,
+};
+
+function createHolder() {
+  const clock = new ManualClock();
+  const retired = new Set<string>();
+  const state: {standing: Standing} = {standing: 'current'};
+  const guard = new SpendGuard(
+    'i1',
+    clock,
+    {standing: () => state.standing},
+    {
+      limits: () => LIMITS,
+      retired: () => retired,
+      retire: () => Promise.resolve(),
+    },
+  );
+  const holder = new TeamHolder(clock, guard, () => LIMITS);
+  return {clock, retired, state, holder};
+}
+
+function createGrant(changes: Partial<GrantReply> = {}): GrantReply {
+  return {
+    kind: 'granted',
+    epoch: 2,
+    owner: 'i9',
+    seq: 1,
+    share: HALF,
+    tokens: 5,
+    target: HALF,
+    askAgainMs: 0,
+    retryAfterMs: 0,
+    ...changes,
+  };
+}
+
+test('takes one answer, and only the one it awaits', () => {
+  const {holder} = createHolder();
+  expect(holder.accept(createGrant(), 2)).toBe(false);
+  holder.beginSync('ask', {...CONTEXT, seq: 1});
+  holder.giveUp(1);
+  expect(holder.accept(createGrant(), 2)).toBe(false);
+  holder.beginSync('ask', {...CONTEXT, seq: 2});
+  expect(holder.accept(createGrant(), 2)).toBe(false);
+  holder.beginSync('ask', {...CONTEXT, seq: 3});
+  expect(holder.accept(createGrant({seq: 3}), 2)).toBe(true);
+  expect(holder.accept(createGrant({seq: 3}), 2)).toBe(false);
+  expect(holder.tokens).toBe(5);
+});
+
+test('takes no answer of an older epoch or of a retired owner', () => {
+  const {holder, retired} = createHolder();
+  holder.beginSync('ask', {...CONTEXT, seq: 1});
+  expect(holder.accept(createGrant({epoch: 1}), 2)).toBe(false);
+  holder.beginSync('ask', {...CONTEXT, seq: 2});
+  retired.add('i9');
+  expect(holder.accept(createGrant({seq: 2}), 2)).toBe(false);
+  expect(holder.share).toEqual(NO_SHARE);
+});
+
+test('gives up its share before the owner hears of it', () => {
+  const {holder} = createHolder();
+  holder.beginSync('ask', {...CONTEXT, seq: 1});
+  holder.accept(createGrant(), 2);
+  const message = holder.beginSync('release', {...CONTEXT, seq: 2});
+  expect(message).toMatchObject({held: NO_SHARE, heldEpoch: 0, tokensBack: 5});
+  expect(holder.trySpend()).toBe(false);
+  expect(holder.share).toEqual(NO_SHARE);
+});
+
+test('gives nothing up to an owner that has not adopted its share', () => {
+  const {holder} = createHolder();
+  holder.beginSync('ask', {...CONTEXT, seq: 1});
+  holder.accept(createGrant(), 2);
+  const context = {...CONTEXT, knownEpoch: 3, seq: 2};
+  const message = holder.beginSync('release', context);
+  expect(message).toMatchObject({held: HALF, heldEpoch: 2, tokensBack: 0});
+});
+
+test('re-checks its standing at each spend', () => {
+  const {holder, state, clock} = createHolder();
+  holder.beginSync('ask', {...CONTEXT, seq: 1});
+  holder.accept(createGrant(), 2);
+  expect(holder.trySpend()).toBe(true);
+  state.standing = 'cutOff';
+  expect(holder.trySpend()).toBe(false);
+  state.standing = 'outage';
+  clock.advance(3_600_000);
+  expect(holder.trySpend()).toBe(true);
+});
+
+test('outlives a retired owner from the last proof of its office', () => {
+  const {holder, retired, clock} = createHolder();
+  holder.beginSync('ask', {...CONTEXT, seq: 1});
+  holder.accept(createGrant(), 2);
+  expect(holder.trySpend()).toBe(true);
+  retired.add('i9');
+  clock.advance(2_600);
+  expect(holder.trySpend()).toBe(true);
+  clock.advance(101);
+  expect(holder.trySpend()).toBe(false);
+  expect(holder.share).toEqual(NO_SHARE);
+});
