--- /dev/null
+++ b/bench/admission.ts
@@ -0,0 +1,255 @@
+/** Compares ways to keep a team to its rate and burst over all nodes. */
+
+import {ConcurrencyLimit} from '../src/admission/concurrency-limit.js';
+import {TokenBucket} from '../src/admission/token-bucket.js';
+import {AdaptiveLimit} from '../test/admission/adaptive-limit.js';
+import {Cluster} from '../test/admission/cluster.js';
+import {worstExcess} from '../test/admission/law.js';
+import {ManualClock} from '../test/admission/manual-clock.js';
+import {createRandom} from '../test/admission/random.js';
+import {runSlotModel, type LimitModel} from '../test/admission/slot-model.js';
+
+const TEAM = 'assessors';
+const NODES = 7;
+const RUN_MS = 60_000;
+const FAULT_MS = 20_000;
+const OUTAGE_MS = 30_000;
+const LIMITS = {rate: 200, burst: 100};
+const LOAD_RATIO = 0.9;
+const SEED = 7;
+/** Listing lag, time until retirement and safety period, as in the service. */
+const REPLACE_AFTER_MS = 10_500;
+const HOP_MS = 1.1;
+const MODEL_RUN_MS = 60_000;
+
+type Scenario =
+  | 'calm'
+  | 'skewed entry'
+  | 'owner node dead'
+  | 'other node dead'
+  | 'store out 30 s'
+  | 'ten times the rate';
+
+const SCENARIOS: readonly Scenario[] = [
+  'calm',
+  'skewed entry',
+  'owner node dead',
+  'other node dead',
+  'store out 30 s',
+  'ten times the rate',
+];
+
+interface Arrival {
+  readonly atMs: number;
+  readonly node: number;
+}
+
+interface Outcome {
+  /** When each admitted statement was admitted. */
+  readonly admittedMs: readonly number[];
+  readonly messages: number;
+}
+
+type Approach = (
+  arrivals: readonly Arrival[],
+  scenario: Scenario,
+) => Promise<Outcome>;
+
+/**
+ * Prints the comparison under virtual time.
+ *
+ * @example
+ * await run();
+ */
+export async function run(): Promise<void> {
+  await compareBudgets();
+  compareLimits();
+}
+
+async function compareBudgets(): Promise<void> {
+  const approaches: readonly (readonly [string, Approach])[] = [
+    ['escrow with owner', runEscrow],
+    ['one central owner', runCentral],
+    ['fixed 1/N shares', runFixed],
+  ];
+  printRow('scenario', 'approach', 'wrongful %', 'excess', 'msgs/admitted');
+  printRow('---', '---', '---', '---', '---');
+  for (const scenario of SCENARIOS) {
+    const arrivals = createArrivals(scenario);
+    const ideal = countIdeal(arrivals);
+    for (const [name, approach] of approaches) {
+      const {admittedMs, messages} = await approach(arrivals, scenario);
+      const wrongful = (ideal - admittedMs.length) / arrivals.length;
+      const changes = [{atMs: 0, limits: LIMITS}];
+      const times = [...admittedMs].sort((a, b) => a - b);
+      printRow(
+        scenario,
+        name,
+        (Math.max(0, wrongful) * 100).toFixed(2),
+        worstExcess(times, changes, 0).toFixed(1),
+        (messages / admittedMs.length).toFixed(3),
+      );
+    }
+  }
+}
+
+/** The node on which every approach puts its owner at first. */
+function ownerIndex(): number {
+  return 0;
+}
+
+function deadNodeOf(scenario: Scenario): number | undefined {
+  if (scenario === 'owner node dead') return ownerIndex();
+  return scenario === 'other node dead' ? 3 : undefined;
+}
+
+function createArrivals(scenario: Scenario): readonly Arrival[] {
+  const random = createRandom(SEED);
+  const ratio = scenario === 'ten times the rate' ? 10 : LOAD_RATIO;
+  const perMs = (LIMITS.rate * ratio) / 1_000;
+  const dead = deadNodeOf(scenario);
+  const arrivals: Arrival[] = [];
+  let atMs = 0;
+  for (;;) {
+    atMs += -Math.log(1 - random.next()) / perMs;
+    if (atMs >= RUN_MS) return arrivals;
+    let node = Math.floor(random.next() * NODES);
+    if (scenario === 'skewed entry') node = 3;
+    if (node === dead && atMs >= FAULT_MS) node = (node + 1) % NODES;
+    arrivals.push({atMs, node});
+  }
+}
+
+/** What one bucket that knows everything at once would admit. */
+function countIdeal(arrivals: readonly Arrival[]): number {
+  const clock = new ManualClock();
+  const bucket = new TokenBucket(clock, LIMITS, LIMITS.burst);
+  return arrivals.filter(({atMs}) => {
+    clock.advance(atMs - clock.now());
+    return bucket.trySpend(1);
+  }).length;
+}
+
+const runEscrow: Approach = async (arrivals, scenario) => {
+  const cluster = new Cluster({
+    nodes: NODES,
+    seed: SEED,
+    limits: {[TEAM]: LIMITS},
+  });
+  const nodes = [...cluster.nodes];
+  const first = nodes[ownerIndex()]!;
+  cluster.preferOwner(first);
+  for (const {atMs, node} of arrivals) {
+    cluster.time.schedule(atMs, () => void cluster.admit(nodes[node]!, TEAM));
+  }
+  const dead = deadNodeOf(scenario);
+  cluster.time.schedule(FAULT_MS, () => {
+    if (dead !== undefined) cluster.kill(nodes[dead]!);
+    cluster.store.isDown = scenario === 'store out 30 s';
+  });
+  cluster.time.schedule(FAULT_MS + OUTAGE_MS, () => {
+    cluster.store.isDown = false;
+  });
+  await cluster.time.advance(RUN_MS + 100);
+  await cluster.stop();
+  const admittedMs = cluster.decisions
+    .filter(({retryAfterMs}) => retryAfterMs === undefined)
+    .map(({atMs}) => atMs);
+  return {admittedMs, messages: cluster.messages};
+};
+
+/** Every statement asks the owner; a dead one is replaced without tokens. */
+const runCentral: Approach = async (arrivals, scenario) => {
+  const clock = new ManualClock();
+  let bucket = new TokenBucket(clock, LIMITS, LIMITS.burst);
+  let owner = ownerIndex();
+  let messages = 0;
+  const admittedMs: number[] = [];
+  for (const {atMs, node} of arrivals) {
+    const replacedMs = FAULT_MS + REPLACE_AFTER_MS;
+    const isOwnerDead = deadNodeOf(scenario) === owner && atMs >= FAULT_MS;
+    if (isOwnerDead && atMs < replacedMs) continue;
+    clock.advance(atMs - clock.now());
+    if (isOwnerDead) {
+      owner += 1;
+      bucket = new TokenBucket(clock, LIMITS, 0);
+    }
+    const isLocal = node === owner;
+    if (!isLocal) messages += 2;
+    if (bucket.trySpend(1)) admittedMs.push(isLocal ? atMs : atMs + 2 * HOP_MS);
+  }
+  return {admittedMs, messages};
+};
+
+/** Each node has an equal part; a dead one's is divided once that is safe. */
+const runFixed: Approach = async (arrivals, scenario) => {
+  const clock = new ManualClock();
+  const sizeFor = (nodes: number) => ({
+    rate: LIMITS.rate / nodes,
+    burst: LIMITS.burst / nodes,
+  });
+  const buckets = Array.from(
+    {length: NODES},
+    () => new TokenBucket(clock, sizeFor(NODES), LIMITS.burst / NODES),
+  );
+  const admittedMs: number[] = [];
+  let isDivided = deadNodeOf(scenario) === undefined;
+  for (const {atMs, node} of arrivals) {
+    clock.advance(atMs - clock.now());
+    if (!isDivided && atMs >= FAULT_MS + REPLACE_AFTER_MS) {
+      isDivided = true;
+      for (const bucket of buckets) bucket.resize(sizeFor(NODES - 1));
+    }
+    if (buckets[node]!.trySpend(1)) admittedMs.push(atMs);
+  }
+  return {admittedMs, messages: 0};
+};
+
+function compareLimits(): void {
+  const limits: readonly (readonly [string, () => LimitModel])[] = [
+    ['slots', () => ({value: 2})],
+    [
+      'slots + 1',
+      () => new ConcurrencyLimit({slots: () => 2, connections: () => 16}),
+    ],
+    ['slots + 2', () => ({value: 4})],
+    ['follows latency', () => new AdaptiveLimit(2)],
+    ['16 connections', () => ({value: 16})],
+  ];
+  console.log('');
+  printRow('service time', 'limit', 'mean', 'statements/s', 'urgent p99 ms');
+  printRow('---', '---', '---', '---', '---');
+  for (const name of ['constant', 'exponential', 'mixed'] as const) {
+    for (const [label, create] of limits) {
+      const res = runSlotModel(create(), {
+        slots: 2,
+        hopMs: 1,
+        serviceMs: createServiceTime(name),
+        runMs: MODEL_RUN_MS,
+        urgentPerSecond: 50,
+        seed: SEED,
+      });
+      printRow(
+        name,
+        label,
+        res.meanLimit.toFixed(2),
+        res.perSecond.toFixed(0),
+        res.urgentP99Ms.toFixed(1),
+      );
+    }
+  }
+}
+
+/** Service times of about 4 ms on average. */
+function createServiceTime(
+  name: 'constant' | 'exponential' | 'mixed',
+): () => number {
+  const random = createRandom(SEED);
+  if (name === 'constant') return () => 4;
+  if (name === 'mixed') return () => (random.next() < 0.9 ? 2 : 22);
+  return () => -Math.log(1 - random.next()) * 4;
+}
+
+function printRow(...cells: readonly string[]): void {
+  console.log(`| ${cells.join(' | ')} |`);
+}
--- a/src/admission/allocation.ts
+++ b/src/admission/allocation.ts
@@ -4,7 +4,7 @@
 import type {BudgetLimits, Share} from './types.js';
 
 /** The part of the rate that the owner keeps for nodes that ask. */
-const RESERVED_RATE_RATIO = 0.1;
+const RESERVED_RATE_RATIO = 0.05;
 
 /** The part of the burst that the owner keeps for nodes that ask. */
 const RESERVED_BURST_RATIO = 0.25;
--- a/src/admission/ownership.ts
+++ b/src/admission/ownership.ts
@@ -11,6 +11,9 @@
 /** Pause between two reads of a record that brought nothing new. */
 const RELOAD_PAUSE_MS = 500;
 
+/** How long a node that did not answer is not asked to become the owner. */
+const AVOID_MS = 3_000;
+
 /** What ownership is built from. */
 export interface OwnershipDeps {
   readonly team: string;
@@ -27,6 +30,7 @@
   #loading: Promise<void> | undefined;
   #claiming: Promise<boolean> | undefined;
   #nextLoadAtMs = -Infinity;
+  readonly #avoidUntilMs = new Map<string, number>();
 
   constructor(deps: OwnershipDeps) {
     this.#deps = deps;
@@ -64,6 +68,11 @@
     return this.isSettled ? this.owner : this.#firstChoice();
   }
 
+  /** Has another node asked where `instance` did not answer as the owner. */
+  avoid(instance: string): void {
+    this.#avoidUntilMs.set(instance, this.#deps.guard.nowMs + AVOID_MS);
+  }
+
   /** Reads the record, but not again at once. */
   async reload(): Promise<void> {
     const {nowMs} = this.#deps.guard;
@@ -157,10 +166,16 @@
 
   #firstChoice(except?: string): string | undefined {
     const {team, guard, peers} = this.#deps;
-    return peers
+    const fit = peers
       .homeOrder(budgetKey(team))
-      .find(({instance}) => instance !== except && !guard.isRetired(instance))
-      ?.instance;
+      .map(({instance}) => instance)
+      .filter(one => one !== except && !guard.isRetired(one));
+    return fit.find(one => !this.#isAvoided(one)) ?? fit[0];
+  }
+
+  #isAvoided(instance: string): boolean {
+    const untilMs = this.#avoidUntilMs.get(instance);
+    return untilMs !== undefined && this.#deps.guard.nowMs < untilMs;
   }
 }
 
--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -27,6 +27,8 @@
 const REPORT_TIMEOUT_MS = 250;
 /** How often an ask follows a hint to another owner. */
 const MAX_HOPS = 3;
+/** How often a leaving node tries to hand its share back. */
+const MAX_LEAVE_ATTEMPTS = 5;
 const MIN_RETRY_MS = 1;
 const MAX_RETRY_MS = 60_000;
 /** When to come back to a node that may not spend. */
@@ -147,9 +149,11 @@
   async leave(): Promise<void> {
     const owner = this.#owner;
     if (owner !== undefined) await this.#handOn(owner);
-    if (this.#owner !== undefined || isNoShare(this.#holder.share)) return;
-    await this.#sync('report', REPORT_TIMEOUT_MS);
-    await this.#sync('release', REPORT_TIMEOUT_MS);
+    // The first message may only move the share to the next owner.
+    for (let attempt = 0; attempt < MAX_LEAVE_ATTEMPTS; attempt++) {
+      if (this.#owner !== undefined || isNoShare(this.#holder.share)) return;
+      await this.#sync('release', REPORT_TIMEOUT_MS);
+    }
   }
 
   /** Gives back at once what was lent for the statements just admitted. */
@@ -238,6 +242,7 @@
         continue;
       }
       const reply = await this.#call(to, purpose, timeoutMs);
+      if (reply?.kind === 'busy') this.#ownership.avoid(to);
       if (reply?.kind !== 'notOwner') return;
       avoided = to;
     }
@@ -257,6 +262,7 @@
       return reply;
     } catch {
       this.#schedule.failed();
+      this.#ownership.avoid(to);
       void this.#ownership.reload();
       return undefined;
     } finally {
--- /dev/null
+++ b/test/admission/adaptive-limit.ts
@@ -0,0 +1,45 @@
+const MAX_EXTRA = 4;
+/** Latency over this multiple of the least counts as queueing. */
+const QUEUEING_RATIO = 2;
+const DECREASE_RATIO = 0.9;
+/** Answers over which the least latency is taken. */
+const WINDOW_ANSWERS = 200;
+
+/** The alternative to a fixed limit: additive increase, multiplicative decrease. */
+export class AdaptiveLimit {
+  readonly #slots: number;
+  #limit: number;
+  #leastMs = Infinity;
+  #nextLeastMs = Infinity;
+  #answers = 0;
+
+  constructor(slots: number) {
+    this.#slots = slots;
+    this.#limit = slots + 1;
+  }
+
+  get value(): number {
+    return Math.floor(this.#limit);
+  }
+
+  record(latencyMs: number, concurrency: number): void {
+    this.#noteLeast(latencyMs);
+    if (latencyMs > QUEUEING_RATIO * this.#leastMs) {
+      this.#limit = Math.max(this.#slots, this.#limit * DECREASE_RATIO);
+      return;
+    }
+    if (concurrency < this.value) return;
+    const most = this.#slots + MAX_EXTRA;
+    this.#limit = Math.min(most, this.#limit + 1 / this.#limit);
+  }
+
+  #noteLeast(latencyMs: number): void {
+    this.#nextLeastMs = Math.min(this.#nextLeastMs, latencyMs);
+    this.#leastMs = Math.min(this.#leastMs, latencyMs);
+    this.#answers += 1;
+    if (this.#answers < WINDOW_ANSWERS) return;
+    this.#leastMs = this.#nextLeastMs;
+    this.#nextLeastMs = Infinity;
+    this.#answers = 0;
+  }
+}
--- a/test/admission/ledger.test.ts
+++ b/test/admission/ledger.test.ts
@@ -74,6 +74,12 @@
   expect(sumOf(ledger)).toBe(WHOLE.rate);
 });
 
+test('adopts nothing that is said to be of its own epoch', () => {
+  const ledger = Ledger.createUnaccounted();
+  expect(ledger.reconcile(createSync(1, TENTH), EPOCH).kind).toBe('void');
+  expect(ledger.unaccounted).toEqual(WHOLE);
+});
+
 test('grants no more than the pool', () => {
   const ledger = Ledger.createWhole();
   ledger.reconcile(createSync(1, NO_SHARE), EPOCH);
