--- a/src/admission/allocation.ts
+++ b/src/admission/allocation.ts
@@ -1,7 +1,7 @@
 /** How an owner divides a budget between the nodes that need it. */
 
-import {NO_SHARE, tokensIn, WHOLE_UNITS} from './share.js';
-import type {BudgetLimits, Share} from './types.js';
+import {isNoShare, NO_SHARE, tokensIn, unitsFor, WHOLE_UNITS} from './share.js';
+import type {BudgetLimits, Share, SyncMessage} from './types.js';
 
 /** The part of the rate that the owner keeps for nodes that ask. */
 const RESERVED_RATE_RATIO = 0.05;
@@ -15,6 +15,15 @@
 /** Demand over this part of the rate leaves nothing to keep for later. */
 const OVERLOAD_RATIO = 1.3;
 
+/** Pause between asks, and rounds of recalls, while a team is overloaded. */
+export const OVERLOAD_PAUSE_MS = 1_000;
+
+/** An asking node is given tokens for this long ahead, if there are plenty. */
+const ASK_AHEAD_S = 0.25;
+
+/** The part of the owner's tokens that may be given ahead of need. */
+const MAX_AHEAD_RATIO = 0.25;
+
 /** Whether callers offer clearly more than the rate. */
 export function isOverloaded(
   totalDemand: number,
@@ -65,6 +74,37 @@
   return {rate: rise('rate'), burst: rise('burst')};
 }
 
+/**
+ * The tokens that go along with a grant: in proportion to the burst that moves,
+ * and more for a node where statements wait.
+ */
+export function tokensToGrant(
+  sync: SyncMessage,
+  poolTokens: number,
+  poolBurst: number,
+  risenBurst: number,
+  target: Share,
+): number {
+  const ratio = poolBurst > 0 ? risenBurst / poolBurst : 0;
+  const inProportion = poolTokens * ratio;
+  if (sync.waiting === 0) return inProportion;
+  // A node without a share of its own would keep others from the tokens.
+  const ahead = isNoShare(target)
+    ? 0
+    : Math.min(sync.demand * ASK_AHEAD_S, poolTokens * MAX_AHEAD_RATIO);
+  return Math.max(inProportion, Math.min(poolTokens, sync.waiting + ahead));
+}
+
+/** The burst that a waiting node needs for `tokens`, and for a whole one. */
+export function roomFor(
+  tokens: number,
+  held: Share,
+  limits: BudgetLimits,
+): number {
+  const whole = Math.max(0, unitsFor(1, limits) - held.burst);
+  return Math.max(whole, unitsFor(tokens, limits));
+}
+
 function reservedRateRatio(totalDemand: number, limits: BudgetLimits): number {
   return isOverloaded(totalDemand, limits) ? 0 : RESERVED_RATE_RATIO;
 }
--- /dev/null
+++ b/src/admission/recalls.ts
@@ -0,0 +1,141 @@
+/** How an owner gets tokens and news from the holders of a budget. */
+
+import type {Clock} from '../platform/clock.js';
+import {isOverloaded, OVERLOAD_PAUSE_MS, targetShare} from './allocation.js';
+import type {DemandTable} from './demand-table.js';
+import type {Ledger} from './ledger.js';
+import {isNoShare, minShare, NO_SHARE} from './share.js';
+import type {
+  BudgetLimits,
+  BudgetPeers,
+  RecallMessage,
+  Share,
+  SyncMessage,
+} from './types.js';
+
+const RECALL_TIMEOUT_MS = 12;
+const REPORT_TIMEOUT_MS = 250;
+const MAX_RECALLS = 8;
+/** Pause after a round of recalls that brought too little. */
+const RECALL_PAUSE_MS = 25;
+const FRUITFUL_RECALL_TOKENS = 2;
+/** A round brings tokens for this long ahead, so that rounds are few. */
+const RECALL_AHEAD_S = 0.1;
+/** A holder that was not heard of for this long is asked what it holds. */
+const REPORT_AFTER_MS = 10_000;
+
+/** What recalls are built from. */
+export interface RecallsDeps {
+  readonly team: string;
+  readonly owner: string;
+  readonly epoch: number;
+  readonly clock: Clock;
+  readonly peers: BudgetPeers;
+  readonly limits: () => BudgetLimits;
+  readonly ledger: Ledger;
+  readonly demands: DemandTable;
+  /** The tokens in the owner's pool. */
+  readonly tokens: () => number;
+  readonly totalDemand: () => number;
+  /** Takes in what a holder says it holds now. */
+  readonly count: (sync: SyncMessage) => void;
+}
+
+/** Asks holders for tokens, one round at a time. */
+export class Recalls {
+  readonly #deps: RecallsDeps;
+  readonly #askedAtMs = new Map<string, number>();
+  #round: Promise<void> | undefined;
+  #nextRoundAtMs = -Infinity;
+
+  constructor(deps: RecallsDeps) {
+    this.#deps = deps;
+  }
+
+  /** Asks the holders with most tokens to spare, unless there are `wanted`. */
+  async collect(wanted: number, except?: string): Promise<void> {
+    const {clock, tokens} = this.#deps;
+    if (this.#round !== undefined) await this.#round;
+    if (tokens() >= wanted || clock.now() < this.#nextRoundAtMs) return;
+    this.#round ??= this.#runRound(wanted, except).finally(() => {
+      this.#round = undefined;
+    });
+    return this.#round;
+  }
+
+  /** Asks holders not heard of for long what they hold. */
+  async askForReports(holders: readonly string[]): Promise<void> {
+    const nowMs = this.#deps.clock.now();
+    const silent = holders.filter(holder => {
+      const heardAtMs = this.#deps.demands.heardAtMs(holder);
+      const askedAtMs = this.#askedAtMs.get(holder) ?? -Infinity;
+      return nowMs - Math.max(heardAtMs, askedAtMs) >= REPORT_AFTER_MS;
+    });
+    for (const holder of silent) this.#askedAtMs.set(holder, nowMs);
+    await Promise.all(
+      silent.map(holder => this.#recall(holder, 0, REPORT_TIMEOUT_MS)),
+    );
+  }
+
+  async #runRound(wanted: number, except?: string): Promise<void> {
+    const {clock, tokens, totalDemand} = this.#deps;
+    const before = tokens();
+    const missing = wanted + totalDemand() * RECALL_AHEAD_S - before;
+    await Promise.all(
+      this.#sources(except).map(holder =>
+        this.#recall(holder, missing, RECALL_TIMEOUT_MS),
+      ),
+    );
+    const isFruitful = tokens() - before >= FRUITFUL_RECALL_TOKENS;
+    const overloaded = isOverloaded(totalDemand(), this.#deps.limits());
+    if (isFruitful && !overloaded) return;
+    const pauseMs = overloaded ? OVERLOAD_PAUSE_MS : RECALL_PAUSE_MS;
+    this.#nextRoundAtMs = clock.now() + pauseMs;
+  }
+
+  #sources(except?: string): readonly string[] {
+    const {ledger, demands} = this.#deps;
+    const limits = this.#deps.limits();
+    return [...ledger.entries]
+      .filter(([holder, entry]) => holder !== except && entry.share.burst > 0)
+      .map(([holder, entry]) => ({
+        holder,
+        spare: demands.spareTokens(holder, entry.share, limits),
+      }))
+      .sort((a, b) => b.spare - a.spare)
+      .slice(0, MAX_RECALLS)
+      .map(({holder}) => holder);
+  }
+
+  async #recall(
+    holder: string,
+    tokens: number,
+    timeoutMs: number,
+  ): Promise<void> {
+    const {team, owner, epoch, peers, ledger} = this.#deps;
+    const share = ledger.shareOf(holder);
+    const target = tokens > 0 ? this.#targetOf(holder, share) : share;
+    const message: RecallMessage = {
+      kind: 'recall',
+      team,
+      epoch,
+      owner,
+      target,
+      tokens,
+    };
+    try {
+      const reply = await peers.call(holder, message, timeoutMs);
+      if (reply.kind === 'returned') this.#deps.count(reply.sync);
+    } catch {
+      // The holder says at its next message what it holds.
+    }
+  }
+
+  /** Rate goes back too where a node's demand fell. */
+  #targetOf(holder: string, share: Share): Share {
+    const {demands, limits, totalDemand} = this.#deps;
+    const demand = demands.demandOf(holder);
+    const target = targetShare(demand, totalDemand(), limits());
+    return isNoShare(target) ? NO_SHARE : minShare(share, target);
+  }
+}
--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -2,14 +2,14 @@
 
 import type {BudgetRecords} from './budget-record.js';
 import {DemandMeter} from './demand-meter.js';
-import {Ledger} from './ledger.js';
+import {OwnerSeat} from './owner-seat.js';
 import {Ownership} from './ownership.js';
 import type {RetirementTimers} from './retirement-timers.js';
 import {isNoShare} from './share.js';
 import type {SpendGuard} from './spend-guard.js';
 import {SyncSchedule} from './sync-schedule.js';
 import {TeamHolder, type SyncContext, type SyncPurpose} from './team-holder.js';
-import {TeamOwner} from './team-owner.js';
+import type {TeamOwner} from './team-owner.js';
 import type {
   Admission,
   BudgetDeps,
@@ -56,9 +56,7 @@
   readonly #ownership: Ownership;
   readonly #holder: TeamHolder;
   readonly #schedule: SyncSchedule;
-  #owner: TeamOwner | undefined;
-  /** Earlier owners whose grants may not all be accounted for. */
-  #predecessors: readonly string[] = [];
+  readonly #seat: OwnerSeat;
   #calls = 0;
   #syncing: Promise<void> | undefined;
   #waiting = 0;
@@ -71,6 +69,13 @@
     this.#ownership = new Ownership({team, self, guard, peers, records});
     this.#holder = new TeamHolder(clock, guard, () => this.#limits());
     this.#schedule = new SyncSchedule(clock);
+    this.#seat = new OwnerSeat({
+      ...deps,
+      self,
+      ownership: this.#ownership,
+      limits: () => this.#limits(),
+      ownDemand: () => this.#meter.perSecond,
+    });
   }
 
   /** Whether nothing would be lost by forgetting this budget. */
@@ -83,13 +88,12 @@
 
   /** The other instances on which this budget depends at this node. */
   get dependsOn(): readonly string[] {
-    const owner = this.#owner;
-    const holders = owner?.holders ?? [];
-    const granted = [this.#holder.grantor, this.#ownership.owner];
     const {instance: self} = this.#deps.self;
-    return [...holders, ...this.#predecessors, ...granted].filter(
-      instance => instance !== undefined && instance !== self,
-    ) as string[];
+    return [
+      ...this.#seat.dependsOn,
+      this.#holder.grantor,
+      this.#ownership.owner,
+    ].filter(one => one !== undefined && one !== self) as string[];
   }
 
   status(): BudgetStatus {
@@ -137,7 +141,7 @@
   /** Does what is due: messages to the owner, and the owner's housekeeping. */
   async tick(): Promise<void> {
     this.#holder.refresh();
-    if (this.#owner !== undefined) return this.#tickOwner(this.#owner);
+    if (this.#owner !== undefined) return this.#seat.tick();
     const purpose = this.#schedule.due(this.#meter, this.#holder, {
       isOutdated: this.#holder.heldEpoch < this.#ownership.epoch,
       isOrphan: !this.#ownership.isSettled,
@@ -164,6 +168,10 @@
     void this.#sync('report', REPORT_TIMEOUT_MS);
   }
 
+  get #owner(): TeamOwner | undefined {
+    return this.#seat.owner;
+  }
+
   #limits(): BudgetLimits {
     return this.#deps.config.limits(this.#deps.team) ?? NO_LIMITS;
   }
@@ -326,63 +334,17 @@
     const isOurs = this.#ownership.owner === self.instance;
     if (!isVacant && !isOurs) return false;
     if (!(await this.#ownership.claim())) return false;
-    this.#open();
-    return this.#owner !== undefined;
-  }
-
-  #open(): void {
     const {record} = this.#ownership;
-    const {openedEpochs, team} = this.#deps;
-    // An epoch is opened once, or its tokens would be credited again.
-    const lastEpoch = openedEpochs.get(team) ?? 0;
-    if (record === undefined || record.epoch <= lastEpoch) return;
-    openedEpochs.set(team, record.epoch);
-    const isNew = record.epoch === 1;
-    const ledger = isNew ? Ledger.createWhole() : Ledger.createUnaccounted();
-    const tokens = isNew ? this.#limits().burst : 0;
-    const held = this.#holder.clear();
-    this.#owner = this.#createOwner(record.epoch, ledger, tokens);
-    this.#owner.absorb(held.share, held.tokens);
-    this.#predecessors = record.predecessors;
-  }
-
-  #createOwner(epoch: number, ledger: Ledger, tokens: number): TeamOwner {
-    const {team, clock, guard, peers, self} = this.#deps;
-    const deps = {
-      team,
-      self: self.instance,
-      clock,
-      guard,
-      peers,
-      limits: () => this.#limits(),
-      ownDemand: () => this.#meter.perSecond,
-    };
-    return new TeamOwner(deps, epoch, ledger, tokens);
+    if (record === undefined) return false;
+    return this.#seat.open(record, () => this.#holder.clear());
   }
 
   /** Goes on as a holder of the pool once another node owns the budget. */
   #stepDownIfSucceeded(): void {
-    const owner = this.#owner;
-    if (owner === undefined || this.#ownership.epoch <= owner.epoch) return;
-    const {pool, tokens, epoch} = owner;
-    this.#owner = undefined;
-    this.#predecessors = [];
-    this.#holder.hold(pool, tokens, epoch, this.#deps.self.instance);
-  }
-
-  async #tickOwner(owner: TeamOwner): Promise<void> {
-    const {guard, retirements, self} = this.#deps;
-    if (guard.isCutOff || guard.isRetired(self.instance)) return;
-    for (const holder of owner.holders) {
-      if (retirements.isSafe(holder)) owner.reclaim(holder);
-    }
-    const open = this.#predecessors;
-    if (open.length > 0 && open.every(one => retirements.isSafe(one))) {
-      this.#predecessors = [];
-      owner.closeAdoption();
-      await this.#ownership.closePredecessors(owner.epoch);
-    }
-    await owner.askForReports();
+    const {epoch} = this.#seat;
+    if (this.#owner === undefined || this.#ownership.epoch <= epoch) return;
+    const {share, tokens} = this.#seat.close();
+    this.#holder.hold(share, tokens, epoch, this.#deps.self.instance);
   }
 
   async #handOn(owner: TeamOwner): Promise<void> {
--- a/test/admission/budget-failures.test.ts
+++ b/test/admission/budget-failures.test.ts
@@ -259,6 +259,26 @@
   await cluster.stop();
 });
 
+test('an owner that is succeeded during a call grants nothing in it', async () => {
+  const cluster = createCluster(3, 400);
+  await cluster.time.advance(5_000);
+  const owner = ownerOf(cluster);
+  const newcomer = cluster.startNode('vm9', 0);
+  const service = cluster.services.get(owner.ref.instance)!;
+  const share = () => service.status()[0]?.share;
+  const sync = createSync(newcomer, {waiting: 100, demand: 100});
+  const reply = service.handle(sync, newcomer.ref.vm);
+  const before = share();
+  await service.handle(
+    {kind: 'moved', team: TEAM, epoch: 2, owner: newcomer.ref.instance},
+    newcomer.ref.vm,
+  );
+  await cluster.time.advance(20);
+  expect(await reply).toEqual({kind: 'stale'});
+  expect(share()?.burst).toBeGreaterThanOrEqual(before?.burst ?? Infinity);
+  await cluster.stop();
+});
+
 test('an owner takes back no more tokens than fit into what was returned', async () => {
   const cluster = createCluster(3, 400);
   await cluster.time.advance(5_000);
