--- /dev/null
+++ b/src/admission/owner-link.ts
@@ -0,0 +1,113 @@
+/** A holder's messages to the owner of a budget, one at a time. */
+
+import type {Ownership} from './ownership.js';
+import type {SyncSchedule} from './sync-schedule.js';
+import type {SyncContext, SyncPurpose, TeamHolder} from './team-holder.js';
+import type {BudgetPeers, BudgetReply, SyncMessage} from './types.js';
+
+/** How often a message follows a hint to another owner. */
+const MAX_HOPS = 3;
+
+/** What the link is built from. */
+export interface OwnerLinkDeps {
+  readonly self: string;
+  readonly peers: BudgetPeers;
+  readonly ownership: Ownership;
+  readonly holder: TeamHolder;
+  readonly schedule: SyncSchedule;
+  readonly context: (purpose: SyncPurpose) => SyncContext;
+  /** Takes a vacant ownership; whether this node then has it. */
+  readonly becomeOwner: () => Promise<boolean>;
+  readonly learn: (epoch: number, owner: string | undefined) => void;
+}
+
+/** Finds the owner, writes to it and takes in what it answers. */
+export class OwnerLink {
+  readonly #deps: OwnerLinkDeps;
+  #syncing: Promise<void> | undefined;
+
+  constructor(deps: OwnerLinkDeps) {
+    this.#deps = deps;
+  }
+
+  /** Whether a message is under way. */
+  get isBusy(): boolean {
+    return this.#syncing !== undefined;
+  }
+
+  /** Waits for the message under way, if there is one. */
+  async settled(): Promise<void> {
+    await this.#syncing;
+  }
+
+  /** Exchanges one message with the owner; calls join the one under way. */
+  async sync(purpose: SyncPurpose, timeoutMs: number): Promise<void> {
+    if (this.#syncing !== undefined) return this.#syncing;
+    this.#syncing = this.#exchange(purpose, timeoutMs).finally(() => {
+      this.#syncing = undefined;
+    });
+    return this.#syncing;
+  }
+
+  async #exchange(purpose: SyncPurpose, timeoutMs: number): Promise<void> {
+    const {becomeOwner, ownership, schedule, self} = this.#deps;
+    let avoided: string | undefined;
+    for (let hop = 0; hop < MAX_HOPS; hop++) {
+      const to = await ownership.locate();
+      if (to === undefined || to === avoided) break;
+      if (to === self) {
+        if (await becomeOwner()) return;
+        if (ownership.owner === undefined) break;
+        continue;
+      }
+      const reply = await this.#call(to, purpose, timeoutMs);
+      if (reply?.kind === 'busy') ownership.avoid(to);
+      if (reply?.kind !== 'notOwner') return;
+      avoided = to;
+    }
+    schedule.failed();
+  }
+
+  async #call(
+    to: string,
+    purpose: SyncPurpose,
+    timeoutMs: number,
+  ): Promise<BudgetReply | undefined> {
+    const {context, holder, ownership, peers, schedule} = this.#deps;
+    const message = holder.beginSync(purpose, context(purpose));
+    schedule.sent(message.demand);
+    try {
+      const reply = await peers.call(to, message, timeoutMs);
+      this.#settle(message, reply);
+      return reply;
+    } catch {
+      schedule.failed();
+      ownership.avoid(to);
+      void ownership.reload();
+      return undefined;
+    } finally {
+      holder.giveUp(message.seq);
+    }
+  }
+
+  #settle(message: SyncMessage, reply: BudgetReply): void {
+    const {holder, learn, ownership, schedule} = this.#deps;
+    switch (reply.kind) {
+      case 'granted':
+        learn(reply.epoch, reply.owner);
+        if (!holder.accept(reply, ownership.epoch)) return;
+        schedule.answered(reply.askAgainMs, reply.retryAfterMs);
+        return;
+      case 'void':
+        if (reply.epoch < ownership.epoch) return;
+        learn(reply.epoch, reply.owner);
+        if (message.heldEpoch <= reply.epoch) holder.clear();
+        return;
+      case 'notOwner':
+        learn(reply.epoch, reply.owner);
+        return;
+      default:
+        schedule.failed();
+    }
+  }
+}
--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -2,6 +2,7 @@
 
 import type {BudgetRecords} from './budget-record.js';
 import {DemandMeter} from './demand-meter.js';
+import {OwnerLink} from './owner-link.js';
 import {OwnerSeat} from './owner-seat.js';
 import {Ownership} from './ownership.js';
 import type {RetirementTimers} from './retirement-timers.js';
@@ -25,8 +26,6 @@
 /** The same while the node has no owner yet, which takes store calls. */
 const FIRST_ASK_TIMEOUT_MS = 250;
 const REPORT_TIMEOUT_MS = 250;
-/** How often an ask follows a hint to another owner. */
-const MAX_HOPS = 3;
 /** How often a leaving node tries to hand its share back. */
 const MAX_LEAVE_ATTEMPTS = 5;
 const MIN_RETRY_MS = 1;
@@ -58,7 +57,7 @@
   readonly #schedule: SyncSchedule;
   readonly #seat: OwnerSeat;
   #calls = 0;
-  #syncing: Promise<void> | undefined;
+  readonly #link: OwnerLink;
   #waiting = 0;
 
   constructor(deps: TeamBudgetDeps) {
@@ -69,6 +68,16 @@
     this.#ownership = new Ownership({team, self, guard, peers, records});
     this.#holder = new TeamHolder(clock, guard, () => this.#limits());
     this.#schedule = new SyncSchedule(clock);
+    this.#link = new OwnerLink({
+      self,
+      peers,
+      ownership: this.#ownership,
+      holder: this.#holder,
+      schedule: this.#schedule,
+      context: purpose => this.#context(purpose),
+      becomeOwner: () => this.#becomeOwner(),
+      learn: (epoch, owner) => this.#learn(epoch, owner),
+    });
     this.#seat = new OwnerSeat({
       ...deps,
       self,
@@ -80,7 +89,7 @@
 
   /** Whether nothing would be lost by forgetting this budget. */
   get isIdle(): boolean {
-    const isBusy = this.#calls > 0 || this.#syncing !== undefined;
+    const isBusy = this.#calls > 0 || this.#link.isBusy;
     if (isBusy || this.#owner !== undefined) return false;
     if (!isNoShare(this.#holder.share)) return false;
     return this.#schedule.isIdle(this.#meter);
@@ -146,7 +155,8 @@
       isOutdated: this.#holder.heldEpoch < this.#ownership.epoch,
       isOrphan: !this.#ownership.isSettled,
     });
-    if (purpose !== undefined) await this.#sync(purpose, REPORT_TIMEOUT_MS);
+    if (purpose !== undefined)
+      await this.#link.sync(purpose, REPORT_TIMEOUT_MS);
   }
 
   /** Hands everything back, and the ownership on. */
@@ -156,7 +166,7 @@
     // The first message may only move the share to the next owner.
     for (let attempt = 0; attempt < MAX_LEAVE_ATTEMPTS; attempt++) {
       if (this.#owner !== undefined || isNoShare(this.#holder.share)) return;
-      await this.#sync('release', REPORT_TIMEOUT_MS);
+      await this.#link.sync('release', REPORT_TIMEOUT_MS);
     }
   }
 
@@ -165,7 +175,7 @@
     const {share, tokens, hasExcess} = this.#holder;
     const isLoan = share.rate === 0 && share.burst > 0 && hasExcess;
     if (!isLoan || tokens >= 1 || this.#waiting > 0) return;
-    void this.#sync('report', REPORT_TIMEOUT_MS);
+    void this.#link.sync('report', REPORT_TIMEOUT_MS);
   }
 
   get #owner(): TeamOwner | undefined {
@@ -223,79 +233,10 @@
   async #ask(timeoutMs: number): Promise<void> {
     if (this.#owner !== undefined) return this.#owner.recallTokens(1);
     // The message under way may not count this statement.
-    if (this.#syncing !== undefined) await this.#syncing;
+    await this.#link.settled();
     const isServed = this.#holder.tokens >= this.#waiting;
     if (isServed || !this.#schedule.mayAsk()) return;
-    await this.#sync('ask', timeoutMs);
-  }
-
-  /** Exchanges one message with the owner; calls join the one under way. */
-  async #sync(purpose: SyncPurpose, timeoutMs: number): Promise<void> {
-    if (this.#syncing !== undefined) return this.#syncing;
-    this.#syncing = this.#exchange(purpose, timeoutMs).finally(() => {
-      this.#syncing = undefined;
-    });
-    return this.#syncing;
-  }
-
-  async #exchange(purpose: SyncPurpose, timeoutMs: number): Promise<void> {
-    const self = this.#deps.self.instance;
-    let avoided: string | undefined;
-    for (let hop = 0; hop < MAX_HOPS; hop++) {
-      const to = await this.#ownership.locate();
-      if (to === undefined || to === avoided) break;
-      if (to === self) {
-        if (await this.#becomeOwner()) return;
-        if (this.#ownership.owner === undefined) break;
-        continue;
-      }
-      const reply = await this.#call(to, purpose, timeoutMs);
-      if (reply?.kind === 'busy') this.#ownership.avoid(to);
-      if (reply?.kind !== 'notOwner') return;
-      avoided = to;
-    }
-    this.#schedule.failed();
-  }
-
-  async #call(
-    to: string,
-    purpose: SyncPurpose,
-    timeoutMs: number,
-  ): Promise<BudgetReply | undefined> {
-    const message = this.#holder.beginSync(purpose, this.#context(purpose));
-    this.#schedule.sent(message.demand);
-    try {
-      const reply = await this.#deps.peers.call(to, message, timeoutMs);
-      this.#settle(message, reply);
-      return reply;
-    } catch {
-      this.#schedule.failed();
-      this.#ownership.avoid(to);
-      void this.#ownership.reload();
-      return undefined;
-    } finally {
-      this.#holder.giveUp(message.seq);
-    }
-  }
-
-  #settle(message: SyncMessage, reply: BudgetReply): void {
-    switch (reply.kind) {
-      case 'granted':
-        this.#learn(reply.epoch, reply.owner);
-        if (!this.#holder.accept(reply, this.#ownership.epoch)) return;
-        this.#schedule.answered(reply.askAgainMs, reply.retryAfterMs);
-        return;
-      case 'void':
-        if (reply.epoch < this.#ownership.epoch) return;
-        this.#learn(reply.epoch, reply.owner);
-        if (message.heldEpoch <= reply.epoch) this.#holder.clear();
-        return;
-      case 'notOwner':
-        this.#learn(reply.epoch, reply.owner);
-        return;
-      default:
-        this.#schedule.failed();
-    }
+    await this.#link.sync('ask', timeoutMs);
   }
 
   async #serve(sync: SyncMessage): Promise<BudgetReply> {
