--- a/src/admission/fair-queue.ts
+++ b/src/admission/fair-queue.ts
@@ -1,7 +1,7 @@
 /** The queue in front of a database group: urgency, fairness, deadlines. */
 
 import type {Clock} from '../platform/clock.js';
-import {TeamLanes} from './team-lanes.js';
+import {TeamQueues} from './team-queues.js';
 
 /** Urgent work goes before ordinary work. */
 export type WorkClass = 'urgent' | 'ordinary';
@@ -48,27 +48,27 @@
  */
 export class FairQueue<T> {
   readonly #options: FairQueueOptions;
-  readonly #lanes: Readonly<Record<WorkClass, TeamLanes<T>>>;
+  readonly #classes: Readonly<Record<WorkClass, TeamQueues<T>>>;
   #urgentInARow = 0;
 
   constructor(options: FairQueueOptions) {
     this.#options = options;
-    this.#lanes = {
-      urgent: new TeamLanes<T>(options.weightOf),
-      ordinary: new TeamLanes<T>(options.weightOf),
+    this.#classes = {
+      urgent: new TeamQueues<T>(options.weightOf),
+      ordinary: new TeamQueues<T>(options.weightOf),
     };
   }
 
   /** The number of queued items, expired ones included until taken. */
   get size(): number {
-    return this.#lanes.urgent.size + this.#lanes.ordinary.size;
+    return this.#classes.urgent.size + this.#classes.ordinary.size;
   }
 
   /** How long the oldest item has waited; 0 when the queue is empty. */
   get oldestAgeMs(): number {
     const oldestMs = Math.min(
-      this.#lanes.urgent.oldestQueuedAtMs,
-      this.#lanes.ordinary.oldestQueuedAtMs,
+      this.#classes.urgent.oldestQueuedAtMs,
+      this.#classes.ordinary.oldestQueuedAtMs,
     );
     return oldestMs === Infinity ? 0 : this.#options.clock.now() - oldestMs;
   }
@@ -76,8 +76,8 @@
   /** The earliest deadline in the queue; infinite when it is empty. */
   get nextExpiryMs(): number {
     return Math.min(
-      this.#lanes.urgent.nextExpiryMs,
-      this.#lanes.ordinary.nextExpiryMs,
+      this.#classes.urgent.nextExpiryMs,
+      this.#classes.ordinary.nextExpiryMs,
     );
   }
 
@@ -94,30 +94,38 @@
     if (lateMs > 0) {
       return {kind: 'refused', retryAfterMs: Math.max(1, Math.ceil(lateMs))};
     }
-    this.#lanes[order.class].push(item, order, nowMs);
+    this.#classes[order.class].push(item, order, nowMs);
     return {kind: 'queued', expectedWaitMs};
   }
 
   /** The next item: an expired one first, else the one whose turn it is. */
   take(): Taken<T> | undefined {
-    const nowMs = this.#options.clock.now();
-    for (const lanes of [this.#lanes.urgent, this.#lanes.ordinary]) {
-      const expired = lanes.takeExpired(nowMs);
-      if (expired !== undefined) return {kind: 'expired', item: expired};
-    }
+    const expired = this.takeExpired();
+    if (expired !== undefined) return {kind: 'expired', item: expired};
     const next = this.#nextClass();
-    const item = this.#lanes[next].take();
+    const item = this.#classes[next].take();
     if (item === undefined) return undefined;
     return {kind: 'run', item};
   }
 
+  /** One item whose deadline has passed; for use while nothing may run. */
+  takeExpired(): T | undefined {
+    const nowMs = this.#options.clock.now();
+    return (
+      this.#classes.urgent.takeExpired(nowMs) ??
+      this.#classes.ordinary.takeExpired(nowMs)
+    );
+  }
+
   /** Removes an item whose caller left; false if it is not queued. */
   remove(item: T): boolean {
-    return this.#lanes.urgent.remove(item) || this.#lanes.ordinary.remove(item);
+    return (
+      this.#classes.urgent.remove(item) || this.#classes.ordinary.remove(item)
+    );
   }
 
   #nextClass(): WorkClass {
-    const {urgent, ordinary} = this.#lanes;
+    const {urgent, ordinary} = this.#classes;
     if (ordinary.size === 0) {
       this.#urgentInARow = 0;
       return 'urgent';
@@ -132,8 +140,8 @@
   }
 
   #expectedWaitMs(order: WorkOrder): number {
-    const {urgent, ordinary} = this.#lanes;
-    const own = this.#lanes[order.class].costAhead(order.team);
+    const {urgent, ordinary} = this.#classes;
+    const own = this.#classes[order.class].costAhead(order.team);
     const concurrency = Math.max(1, this.#options.concurrency());
     if (order.class === 'urgent') {
       const guarded = Math.min(ordinary.cost, own / (ORDINARY_EVERY - 1));
--- a/src/admission/owner-seat.ts
+++ b/src/admission/owner-role.ts
@@ -1,4 +1,4 @@
-/** The office of a budget's owner at this node, while it has it. */
+/** The owner's role at this node, while it owns a team's budget. */
 
 import type {Clock} from '../platform/clock.js';
 import type {BudgetRecord} from './budget-record.js';
@@ -15,8 +15,8 @@
   readonly tokens: number;
 }
 
-/** What the office is built from. */
-export interface OwnerSeatDeps {
+/** What the role is built from. */
+export interface OwnerRoleDeps {
   readonly team: string;
   readonly self: string;
   readonly clock: Clock;
@@ -31,13 +31,13 @@
 }
 
 /** Opens, keeps and closes the ledger of one team. */
-export class OwnerSeat {
-  readonly #deps: OwnerSeatDeps;
+export class OwnerRole {
+  readonly #deps: OwnerRoleDeps;
   #owner: TeamOwner | undefined;
   /** Earlier owners whose grants may not all be accounted for. */
   #predecessors: readonly string[] = [];
 
-  constructor(deps: OwnerSeatDeps) {
+  constructor(deps: OwnerRoleDeps) {
     this.#deps = deps;
   }
 
@@ -45,7 +45,7 @@
     return this.#owner;
   }
 
-  /** The epoch of the office; 0 without one. */
+  /** The epoch that this node owns; 0 if it owns none. */
   get epoch(): number {
     return this.#owner?.epoch ?? 0;
   }
@@ -74,10 +74,10 @@
     return true;
   }
 
-  /** Ends the office; returns what this node goes on to hold. */
+  /** Ends the role; returns what this node goes on to hold. */
   close(): Holding {
     const owner = this.#owner;
-    if (owner === undefined) throw new Error('open the office before closing');
+    if (owner === undefined) throw new Error('open a ledger before closing it');
     this.#owner = undefined;
     this.#predecessors = [];
     return owner.close();
--- a/src/admission/recalls.ts
+++ b/src/admission/recalls.ts
@@ -18,7 +18,7 @@
 const MAX_RECALLS = 8;
 /** Pause after a round of recalls that brought too little. */
 const RECALL_PAUSE_MS = 25;
-const FRUITFUL_RECALL_TOKENS = 2;
+const MIN_RECALLED_TOKENS = 2;
 /** A round brings tokens for this long ahead, so that rounds are few. */
 const RECALL_AHEAD_S = 0.1;
 /** A holder that was not heard of for this long is asked what it holds. */
@@ -86,9 +86,9 @@
         this.#recall(holder, missing, RECALL_TIMEOUT_MS),
       ),
     );
-    const isFruitful = tokens() - before >= FRUITFUL_RECALL_TOKENS;
+    const isEnough = tokens() - before >= MIN_RECALLED_TOKENS;
     const overloaded = isOverloaded(totalDemand(), this.#deps.limits());
-    if (isFruitful && !overloaded) return;
+    if (isEnough && !overloaded) return;
     const pauseMs = overloaded ? OVERLOAD_PAUSE_MS : RECALL_PAUSE_MS;
     this.#nextRoundAtMs = clock.now() + pauseMs;
   }
--- a/src/admission/spend-guard.ts
+++ b/src/admission/spend-guard.ts
@@ -52,7 +52,7 @@
     return SAFETY_LIMITS * this.#options.standingLimitMs;
   }
 
-  /** How long a share outlives the last proof that its owner was in office. */
+  /** How long a share outlives the last proof that its owner was not retired. */
   get orphanMs(): number {
     return ORPHAN_LIMITS * this.#options.standingLimitMs;
   }
--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -3,7 +3,7 @@
 import type {BudgetRecords} from './budget-record.js';
 import {DemandMeter} from './demand-meter.js';
 import {OwnerLink} from './owner-link.js';
-import {OwnerSeat} from './owner-seat.js';
+import {OwnerRole} from './owner-role.js';
 import {Ownership} from './ownership.js';
 import type {RetirementTimers} from './retirement-timers.js';
 import {isNoShare} from './share.js';
@@ -55,7 +55,7 @@
   readonly #ownership: Ownership;
   readonly #holder: TeamHolder;
   readonly #schedule: SyncSchedule;
-  readonly #seat: OwnerSeat;
+  readonly #role: OwnerRole;
   #calls = 0;
   readonly #link: OwnerLink;
   #waiting = 0;
@@ -78,7 +78,7 @@
       becomeOwner: () => this.#becomeOwner(),
       learn: (epoch, owner) => this.#learn(epoch, owner),
     });
-    this.#seat = new OwnerSeat({
+    this.#role = new OwnerRole({
       ...deps,
       self,
       ownership: this.#ownership,
@@ -99,7 +99,7 @@
   get dependsOn(): readonly string[] {
     const {instance: self} = this.#deps.self;
     return [
-      ...this.#seat.dependsOn,
+      ...this.#role.dependsOn,
       this.#holder.grantor,
       this.#ownership.owner,
     ].filter(one => one !== undefined && one !== self) as string[];
@@ -122,7 +122,7 @@
     const canAsk = this.#deps.guard.maySpend() && this.#limits().burst >= 1;
     if (canAsk && this.#schedule.mayAsk()) await this.#replenish(deadlineMs);
     const isAdmitted = this.#trySpend();
-    this.#returnLoan();
+    this.#returnExcess();
     return isAdmitted ? ADMITTED : this.#refusal();
   }
 
@@ -150,7 +150,7 @@
   /** Does what is due: messages to the owner, and the owner's housekeeping. */
   async tick(): Promise<void> {
     this.#holder.refresh();
-    if (this.#owner !== undefined) return this.#seat.tick();
+    if (this.#owner !== undefined) return this.#role.tick();
     const purpose = this.#schedule.due(this.#meter, this.#holder, {
       isOutdated: this.#holder.heldEpoch < this.#ownership.epoch,
       isOrphan: !this.#ownership.isSettled,
@@ -171,15 +171,15 @@
   }
 
   /** Gives back at once what was lent for the statements just admitted. */
-  #returnLoan(): void {
+  #returnExcess(): void {
     const {share, tokens, hasExcess} = this.#holder;
-    const isLoan = share.rate === 0 && share.burst > 0 && hasExcess;
-    if (!isLoan || tokens >= 1 || this.#waiting > 0) return;
+    const isLent = share.rate === 0 && share.burst > 0 && hasExcess;
+    if (!isLent || tokens >= 1 || this.#waiting > 0) return;
     void this.#link.sync('report', REPORT_TIMEOUT_MS);
   }
 
   get #owner(): TeamOwner | undefined {
-    return this.#seat.owner;
+    return this.#role.owner;
   }
 
   #limits(): BudgetLimits {
@@ -246,8 +246,8 @@
     this.#stepDownIfSucceeded();
     if (this.#owner === undefined) await this.#becomeOwner();
     // What a holder tells a later owner is not counted by an earlier one.
-    const isInOffice = (this.#owner?.epoch ?? 0) >= sync.knownEpoch;
-    if (this.#owner !== undefined && isInOffice) return this.#owner.serve(sync);
+    const isUpToDate = (this.#owner?.epoch ?? 0) >= sync.knownEpoch;
+    if (this.#owner !== undefined && isUpToDate) return this.#owner.serve(sync);
     const {epoch, owner} = this.#ownership;
     return {kind: 'notOwner', epoch, owner};
   }
@@ -277,14 +277,14 @@
     if (!(await this.#ownership.claim())) return false;
     const {record} = this.#ownership;
     if (record === undefined) return false;
-    return this.#seat.open(record, () => this.#holder.clear());
+    return this.#role.open(record, () => this.#holder.clear());
   }
 
   /** Goes on as a holder of the pool once another node owns the budget. */
   #stepDownIfSucceeded(): void {
-    const {epoch} = this.#seat;
+    const {epoch} = this.#role;
     if (this.#owner === undefined || this.#ownership.epoch <= epoch) return;
-    const {share, tokens} = this.#seat.close();
+    const {share, tokens} = this.#role.close();
     this.#holder.hold(share, tokens, epoch, this.#deps.self.instance);
   }
 
--- a/src/admission/team-holder.ts
+++ b/src/admission/team-holder.ts
@@ -144,7 +144,7 @@
     return this.#lowerTo(minShare(rest, recall.target), given, context);
   }
 
-  /** Takes an answer, if it is the awaited one of an owner in office. */
+  /** Takes an answer, if it is the awaited one of an owner not retired. */
   accept(reply: GrantReply, knownEpoch: number): boolean {
     if (this.#awaitedSeq !== reply.seq) return false;
     this.#awaitedSeq = undefined;
--- a/src/admission/team-owner.ts
+++ b/src/admission/team-owner.ts
@@ -159,7 +159,7 @@
     this.#refit();
   }
 
-  /** Ends the office; returns what this node goes on to hold. */
+  /** Stops granting; returns what this node goes on to hold. */
   close(): {readonly share: Share; readonly tokens: number} {
     const left = {share: this.pool, tokens: this.tokens};
     // A call under way must not grant from a pool that is held elsewhere.
--- a/src/admission/team-lanes.ts
+++ b/src/admission/team-queues.ts
@@ -12,18 +12,17 @@
   readonly startTag: number;
 }
 
-interface Lane<T> {
-  readonly team: string;
-  readonly weight: number;
-  readonly queue: Queued<T>[];
+interface TeamQueue<T> {
+  weight: number;
+  readonly items: Queued<T>[];
   finishTag: number;
   costMs: number;
 }
 
-/** One first-in-first-out lane a team, served by the lowest start tag. */
-export class TeamLanes<T> {
+/** One first-in-first-out queue a team, served by the lowest start tag. */
+export class TeamQueues<T> {
   readonly #weightOf: (team: string) => number;
-  readonly #lanes = new Map<string, Lane<T>>();
+  readonly #queues = new Map<string, TeamQueue<T>>();
   #virtualTime = 0;
   #size = 0;
   #nextExpiryMs = Infinity;
@@ -39,7 +38,7 @@
   /** The expected time of all queued items on one connection. */
   get cost(): number {
     let cost = 0;
-    for (const lane of this.#lanes.values()) cost += lane.costMs;
+    for (const queue of this.#queues.values()) cost += queue.costMs;
     return cost;
   }
 
@@ -51,31 +50,31 @@
   /** When the oldest item was queued; infinite when nothing is queued. */
   get oldestQueuedAtMs(): number {
     let oldestMs = Infinity;
-    for (const {queue} of this.#lanes.values()) {
-      oldestMs = Math.min(oldestMs, queue[0]?.queuedAtMs ?? Infinity);
+    for (const {items} of this.#queues.values()) {
+      oldestMs = Math.min(oldestMs, items[0]?.queuedAtMs ?? Infinity);
     }
     return oldestMs;
   }
 
   push(item: T, order: WorkOrder, queuedAtMs: number): void {
-    const lane = this.#laneOf(order.team);
-    const startTag = Math.max(this.#virtualTime, lane.finishTag);
+    const queue = this.#queueOf(order.team);
+    const startTag = Math.max(this.#virtualTime, queue.finishTag);
     const {costMs, deadlineMs} = order;
-    lane.finishTag = startTag + costMs / lane.weight;
-    lane.costMs += costMs;
-    lane.queue.push({item, costMs, deadlineMs, queuedAtMs, startTag});
+    queue.finishTag = startTag + costMs / queue.weight;
+    queue.costMs += costMs;
+    queue.items.push({item, costMs, deadlineMs, queuedAtMs, startTag});
     this.#size += 1;
     this.#nextExpiryMs = Math.min(this.#nextExpiryMs, deadlineMs);
   }
 
   /** Takes the item with the lowest start tag. */
   take(): T | undefined {
-    let first: Lane<T> | undefined;
+    let first: TeamQueue<T> | undefined;
     let firstTag = Infinity;
-    for (const lane of this.#lanes.values()) {
-      const tag = lane.queue[0]?.startTag ?? Infinity;
+    for (const queue of this.#queues.values()) {
+      const tag = queue.items[0]?.startTag ?? Infinity;
       if (tag >= firstTag) continue;
-      first = lane;
+      first = queue;
       firstTag = tag;
     }
     if (first === undefined) return undefined;
@@ -87,10 +86,10 @@
   takeExpired(nowMs: number): T | undefined {
     if (nowMs < this.#nextExpiryMs) return undefined;
     let nextMs = Infinity;
-    for (const lane of this.#lanes.values()) {
-      const index = lane.queue.findIndex(queued => queued.deadlineMs <= nowMs);
-      if (index >= 0) return this.#removeAt(lane, index);
-      for (const queued of lane.queue) {
+    for (const queue of this.#queues.values()) {
+      const index = queue.items.findIndex(queued => queued.deadlineMs <= nowMs);
+      if (index >= 0) return this.#removeAt(queue, index);
+      for (const queued of queue.items) {
         nextMs = Math.min(nextMs, queued.deadlineMs);
       }
     }
@@ -99,10 +98,10 @@
   }
 
   remove(item: T): boolean {
-    for (const lane of this.#lanes.values()) {
-      const index = lane.queue.findIndex(queued => queued.item === item);
+    for (const queue of this.#queues.values()) {
+      const index = queue.items.findIndex(queued => queued.item === item);
       if (index < 0) continue;
-      this.#removeAt(lane, index);
+      this.#removeAt(queue, index);
       return true;
     }
     return false;
@@ -110,42 +109,46 @@
 
   /** The work that goes before a new item of `team`, on one connection. */
   costAhead(team: string): number {
-    const own = this.#lanes.get(team);
+    const own = this.#queues.get(team);
     const startTag = Math.max(this.#virtualTime, own?.finishTag ?? 0);
     let cost = own?.costMs ?? 0;
-    for (const lane of this.#lanes.values()) {
-      const head = lane.queue[0];
-      if (lane === own || head === undefined) continue;
+    for (const queue of this.#queues.values()) {
+      const head = queue.items[0];
+      if (queue === own || head === undefined) continue;
       if (head.startTag > startTag) continue;
-      const served = (startTag - head.startTag) * lane.weight;
-      cost += Math.min(lane.costMs, Math.max(served, head.costMs));
+      const served = (startTag - head.startTag) * queue.weight;
+      cost += Math.min(queue.costMs, Math.max(served, head.costMs));
     }
     return cost;
   }
 
-  #laneOf(team: string): Lane<T> {
-    const known = this.#lanes.get(team);
-    if (known !== undefined) return known;
+  #queueOf(team: string): TeamQueue<T> {
     const weight = Math.max(MIN_WEIGHT, this.#weightOf(team));
-    const lane: Lane<T> = {team, weight, queue: [], finishTag: 0, costMs: 0};
-    this.#lanes.set(team, lane);
-    return lane;
+    const known = this.#queues.get(team);
+    if (known !== undefined) {
+      known.weight = weight;
+      return known;
+    }
+    const queue: TeamQueue<T> = {weight, items: [], finishTag: 0, costMs: 0};
+    this.#queues.set(team, queue);
+    return queue;
   }
 
-  #removeAt(lane: Lane<T>, index: number): T | undefined {
-    const [removed] = lane.queue.splice(index, 1);
+  #removeAt(queue: TeamQueue<T>, index: number): T | undefined {
+    const [removed] = queue.items.splice(index, 1);
     if (removed === undefined) return undefined;
-    lane.costMs -= removed.costMs;
+    queue.costMs -= removed.costMs;
     this.#size -= 1;
     this.#forgetIdle();
     return removed.item;
   }
 
-  /** Forgets lanes whose past gives them no later start than a new one. */
+  /** Forgets queues whose past gives them no later start than a new one. */
   #forgetIdle(): void {
-    for (const [team, lane] of this.#lanes) {
-      const idle = lane.queue.length === 0;
-      if (idle && lane.finishTag <= this.#virtualTime) this.#lanes.delete(team);
+    for (const [name, queue] of this.#queues) {
+      const idle = queue.items.length === 0;
+      if (idle && queue.finishTag <= this.#virtualTime)
+        this.#queues.delete(name);
     }
   }
 }
--- a/test/admission/fair-queue.test.ts
+++ b/test/admission/fair-queue.test.ts
@@ -114,6 +114,16 @@
   expect(queue.size).toBe(12);
 });
 
+test('expects to wait for what other teams run meanwhile', () => {
+  const {offer} = createQueue();
+  for (let i = 0; i < 10; i++) offer('a', 'ordinary', FAR_MS, 10);
+  for (const expectedWaitMs of [10, 20, 40]) {
+    const offered = offer('b', 'ordinary', FAR_MS, 10);
+    expect(offered).toEqual({kind: 'queued', expectedWaitMs});
+  }
+  expect(offer('b', 'urgent', 11, 10).kind).toBe('queued');
+});
+
 test('hands out expired items at once and before others', () => {
   const {clock, queue, offer} = createQueue();
   offer('a', 'ordinary');
@@ -127,6 +137,29 @@
   expect(queue.oldestAgeMs).toBe(0);
 });
 
+test('hands out expired items while nothing may run', () => {
+  const {clock, queue, offer} = createQueue();
+  offer('a', 'ordinary', 50);
+  offer('a', 'urgent', 80);
+  expect(queue.takeExpired()).toBeUndefined();
+  clock.advance(60);
+  expect(queue.takeExpired()).toMatchObject({class: 'ordinary'});
+  expect(queue.takeExpired()).toBeUndefined();
+  expect(queue.nextExpiryMs).toBe(80);
+  expect(queue.size).toBe(1);
+});
+
+test('follows a weight that changes', () => {
+  const weights = {a: 1, b: 1};
+  const {queue, offer} = createQueue(weights);
+  for (let i = 0; i < 10; i++) for (const t of ['a', 'b']) offer(t, 'ordinary');
+  countByTeam(queue, 20);
+  weights.a = 3;
+  for (let i = 0; i < 400; i++)
+    for (const t of ['a', 'b']) offer(t, 'ordinary');
+  expect(countByTeam(queue, 400).get('a')).toBeGreaterThanOrEqual(298);
+});
+
 test('removes an item whose caller left', () => {
   const {clock, queue} = createQueue();
   const job: Job = {team: 'a', class: 'ordinary'};
