--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -2,14 +2,15 @@
 
 import type {BudgetRecords} from './budget-record.js';
 import {DemandMeter} from './demand-meter.js';
-import {Ledger} from './ledger.js';
+import {OwnerLink} from './owner-link.js';
+import {OwnerRole} from './owner-role.js';
 import {Ownership} from './ownership.js';
 import type {RetirementTimers} from './retirement-timers.js';
 import {isNoShare} from './share.js';
 import type {SpendGuard} from './spend-guard.js';
 import {SyncSchedule} from './sync-schedule.js';
 import {TeamHolder, type SyncContext, type SyncPurpose} from './team-holder.js';
-import {TeamOwner} from './team-owner.js';
+import type {TeamOwner} from './team-owner.js';
 import type {
   Admission,
   BudgetDeps,
@@ -25,8 +26,8 @@
 /** The same while the node has no owner yet, which takes store calls. */
 const FIRST_ASK_TIMEOUT_MS = 250;
 const REPORT_TIMEOUT_MS = 250;
-/** How often an ask follows a hint to another owner. */
-const MAX_HOPS = 3;
+/** How often a leaving node tries to hand its share back. */
+const MAX_LEAVE_ATTEMPTS = 5;
 const MIN_RETRY_MS = 1;
 const MAX_RETRY_MS = 60_000;
 /** When to come back to a node that may not spend. */
@@ -54,12 +55,9 @@
   readonly #ownership: Ownership;
   readonly #holder: TeamHolder;
   readonly #schedule: SyncSchedule;
-  #owner: TeamOwner | undefined;
-  /** Earlier owners whose grants may not all be accounted for. */
-  #predecessors: readonly string[] = [];
+  readonly #role: OwnerRole;
   #calls = 0;
-  #syncing: Promise<void> | undefined;
-  #asking = false;
+  readonly #link: OwnerLink;
   #waiting = 0;
 
   constructor(deps: TeamBudgetDeps) {
@@ -70,11 +68,28 @@
     this.#ownership = new Ownership({team, self, guard, peers, records});
     this.#holder = new TeamHolder(clock, guard, () => this.#limits());
     this.#schedule = new SyncSchedule(clock);
+    this.#link = new OwnerLink({
+      self,
+      peers,
+      ownership: this.#ownership,
+      holder: this.#holder,
+      schedule: this.#schedule,
+      context: purpose => this.#context(purpose),
+      becomeOwner: () => this.#becomeOwner(),
+      learn: (epoch, owner) => this.#learn(epoch, owner),
+    });
+    this.#role = new OwnerRole({
+      ...deps,
+      self,
+      ownership: this.#ownership,
+      limits: () => this.#limits(),
+      ownDemand: () => this.#meter.perSecond,
+    });
   }
 
   /** Whether nothing would be lost by forgetting this budget. */
   get isIdle(): boolean {
-    const isBusy = this.#calls > 0 || this.#syncing !== undefined;
+    const isBusy = this.#calls > 0 || this.#link.isBusy;
     if (isBusy || this.#owner !== undefined) return false;
     if (!isNoShare(this.#holder.share)) return false;
     return this.#schedule.isIdle(this.#meter);
@@ -82,13 +97,12 @@
 
   /** The other instances on which this budget depends at this node. */
   get dependsOn(): readonly string[] {
-    const owner = this.#owner;
-    const holders = owner?.holders ?? [];
-    const granted = [this.#holder.grantor, this.#ownership.owner];
     const {instance: self} = this.#deps.self;
-    return [...holders, ...this.#predecessors, ...granted].filter(
-      instance => instance !== undefined && instance !== self,
-    ) as string[];
+    return [
+      ...this.#role.dependsOn,
+      this.#holder.grantor,
+      this.#ownership.owner,
+    ].filter(one => one !== undefined && one !== self) as string[];
   }
 
   status(): BudgetStatus {
@@ -108,7 +122,7 @@
     const canAsk = this.#deps.guard.maySpend() && this.#limits().burst >= 1;
     if (canAsk && this.#schedule.mayAsk()) await this.#replenish(deadlineMs);
     const isAdmitted = this.#trySpend();
-    this.#returnLoan();
+    this.#returnExcess();
     return isAdmitted ? ADMITTED : this.#refusal();
   }
 
@@ -136,29 +150,36 @@
   /** Does what is due: messages to the owner, and the owner's housekeeping. */
   async tick(): Promise<void> {
     this.#holder.refresh();
-    if (this.#owner !== undefined) return this.#tickOwner(this.#owner);
+    if (this.#owner !== undefined) return this.#role.tick();
     const purpose = this.#schedule.due(this.#meter, this.#holder, {
       isOutdated: this.#holder.heldEpoch < this.#ownership.epoch,
       isOrphan: !this.#ownership.isSettled,
     });
-    if (purpose !== undefined) await this.#sync(purpose, REPORT_TIMEOUT_MS);
+    if (purpose !== undefined)
+      await this.#link.sync(purpose, REPORT_TIMEOUT_MS);
   }
 
   /** Hands everything back, and the ownership on. */
   async leave(): Promise<void> {
     const owner = this.#owner;
     if (owner !== undefined) await this.#handOn(owner);
-    if (this.#owner !== undefined || isNoShare(this.#holder.share)) return;
-    await this.#sync('report', REPORT_TIMEOUT_MS);
-    await this.#sync('release', REPORT_TIMEOUT_MS);
+    // The first message may only move the share to the next owner.
+    for (let attempt = 0; attempt < MAX_LEAVE_ATTEMPTS; attempt++) {
+      if (this.#owner !== undefined || isNoShare(this.#holder.share)) return;
+      await this.#link.sync('release', REPORT_TIMEOUT_MS);
+    }
   }
 
   /** Gives back at once what was lent for the statements just admitted. */
-  #returnLoan(): void {
+  #returnExcess(): void {
     const {share, tokens, hasExcess} = this.#holder;
-    const isLoan = share.rate === 0 && share.burst > 0 && hasExcess;
-    if (!isLoan || tokens >= 1 || this.#waiting > 0) return;
-    void this.#sync('report', REPORT_TIMEOUT_MS);
+    const isLent = share.rate === 0 && share.burst > 0 && hasExcess;
+    if (!isLent || tokens >= 1 || this.#waiting > 0) return;
+    void this.#link.sync('report', REPORT_TIMEOUT_MS);
+  }
+
+  get #owner(): TeamOwner | undefined {
+    return this.#role.owner;
   }
 
   #limits(): BudgetLimits {
@@ -176,12 +197,21 @@
     if (this.#limits().burst < 1) {
       return {kind: 'refused', retryAfterMs: MAX_RETRY_MS};
     }
-    const ownMs = this.#owner?.msUntilToken() ?? this.#holder.msUntilToken();
-    const dueMs = Math.min(ownMs, this.#schedule.msUntilOwnerHasToken());
+    const dueMs = this.#msUntilToken();
     const boundedMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, dueMs));
     return {kind: 'refused', retryAfterMs: Math.ceil(boundedMs)};
   }
 
+  #msUntilToken(): number {
+    const owner = this.#owner;
+    if (owner === undefined) {
+      const ownerMs = this.#schedule.msUntilOwnerHasToken();
+      return Math.min(this.#holder.msUntilToken(), ownerMs);
+    }
+    const poolMs = owner.msUntilToken();
+    return poolMs === Infinity ? 1_000 / this.#limits().rate : poolMs;
+  }
+
   /** Waits for one ask, together with all statements that wait for it. */
   async #replenish(deadlineMs: number): Promise<void> {
     const {clock} = this.#deps;
@@ -202,82 +232,11 @@
 
   async #ask(timeoutMs: number): Promise<void> {
     if (this.#owner !== undefined) return this.#owner.recallTokens(1);
-    if (this.#syncing !== undefined) {
-      const joined = this.#asking;
-      await this.#syncing;
-      if (joined) return;
-    }
-    if (this.#holder.tokens >= this.#waiting) return;
-    await this.#sync('ask', timeoutMs);
-  }
-
-  /** Exchanges one message with the owner; calls join the one under way. */
-  async #sync(purpose: SyncPurpose, timeoutMs: number): Promise<void> {
-    if (this.#syncing !== undefined) return this.#syncing;
-    this.#asking = purpose === 'ask';
-    this.#syncing = this.#exchange(purpose, timeoutMs).finally(() => {
-      this.#syncing = undefined;
-      this.#asking = false;
-    });
-    return this.#syncing;
-  }
-
-  async #exchange(purpose: SyncPurpose, timeoutMs: number): Promise<void> {
-    const self = this.#deps.self.instance;
-    let avoided: string | undefined;
-    for (let hop = 0; hop < MAX_HOPS; hop++) {
-      const to = await this.#ownership.locate();
-      if (to === undefined || to === avoided) break;
-      if (to === self) {
-        if (await this.#becomeOwner()) return;
-        if (this.#ownership.owner === undefined) break;
-        continue;
-      }
-      const reply = await this.#call(to, purpose, timeoutMs);
-      if (reply?.kind !== 'notOwner') return;
-      avoided = to;
-    }
-    this.#schedule.failed();
-  }
-
-  async #call(
-    to: string,
-    purpose: SyncPurpose,
-    timeoutMs: number,
-  ): Promise<BudgetReply | undefined> {
-    const message = this.#holder.beginSync(purpose, this.#context());
-    this.#schedule.sent(message.demand);
-    try {
-      const reply = await this.#deps.peers.call(to, message, timeoutMs);
-      this.#settle(message, reply);
-      return reply;
-    } catch {
-      this.#schedule.failed();
-      void this.#ownership.reload();
-      return undefined;
-    } finally {
-      this.#holder.giveUp(message.seq);
-    }
-  }
-
-  #settle(message: SyncMessage, reply: BudgetReply): void {
-    switch (reply.kind) {
-      case 'granted':
-        this.#learn(reply.epoch, reply.owner);
-        if (!this.#holder.accept(reply, this.#ownership.epoch)) return;
-        this.#schedule.answered(reply.askAgainMs, reply.retryAfterMs);
-        return;
-      case 'void':
-        if (reply.epoch < this.#ownership.epoch) return;
-        this.#learn(reply.epoch, reply.owner);
-        if (message.heldEpoch <= reply.epoch) this.#holder.clear();
-        return;
-      case 'notOwner':
-        this.#learn(reply.epoch, reply.owner);
-        return;
-      default:
-        this.#schedule.failed();
-    }
+    // The message under way may not count this statement.
+    await this.#link.settled();
+    const isServed = this.#holder.tokens >= this.#waiting;
+    if (isServed || !this.#schedule.mayAsk()) return;
+    await this.#link.sync('ask', timeoutMs);
   }
 
   async #serve(sync: SyncMessage): Promise<BudgetReply> {
@@ -287,8 +246,8 @@
     this.#stepDownIfSucceeded();
     if (this.#owner === undefined) await this.#becomeOwner();
     // What a holder tells a later owner is not counted by an earlier one.
-    const isInOffice = (this.#owner?.epoch ?? 0) >= sync.knownEpoch;
-    if (this.#owner !== undefined && isInOffice) return this.#owner.serve(sync);
+    const isUpToDate = (this.#owner?.epoch ?? 0) >= sync.knownEpoch;
+    if (this.#owner !== undefined && isUpToDate) return this.#owner.serve(sync);
     const {epoch, owner} = this.#ownership;
     return {kind: 'notOwner', epoch, owner};
   }
@@ -316,63 +275,17 @@
     const isOurs = this.#ownership.owner === self.instance;
     if (!isVacant && !isOurs) return false;
     if (!(await this.#ownership.claim())) return false;
-    this.#open();
-    return this.#owner !== undefined;
-  }
-
-  #open(): void {
     const {record} = this.#ownership;
-    const {openedEpochs, team} = this.#deps;
-    // An epoch is opened once, or its tokens would be credited again.
-    const lastEpoch = openedEpochs.get(team) ?? 0;
-    if (record === undefined || record.epoch <= lastEpoch) return;
-    openedEpochs.set(team, record.epoch);
-    const isNew = record.epoch === 1;
-    const ledger = isNew ? Ledger.createWhole() : Ledger.createUnaccounted();
-    const tokens = isNew ? this.#limits().burst : 0;
-    const held = this.#holder.clear();
-    this.#owner = this.#createOwner(record.epoch, ledger, tokens);
-    this.#owner.absorb(held.share, held.tokens);
-    this.#predecessors = record.predecessors;
-  }
-
-  #createOwner(epoch: number, ledger: Ledger, tokens: number): TeamOwner {
-    const {team, clock, guard, peers, self} = this.#deps;
-    const deps = {
-      team,
-      self: self.instance,
-      clock,
-      guard,
-      peers,
-      limits: () => this.#limits(),
-      ownDemand: () => this.#meter.perSecond,
-    };
-    return new TeamOwner(deps, epoch, ledger, tokens);
+    if (record === undefined) return false;
+    return this.#role.open(record, () => this.#holder.clear());
   }
 
   /** Goes on as a holder of the pool once another node owns the budget. */
   #stepDownIfSucceeded(): void {
-    const owner = this.#owner;
-    if (owner === undefined || this.#ownership.epoch <= owner.epoch) return;
-    const {pool, tokens, epoch} = owner;
-    this.#owner = undefined;
-    this.#predecessors = [];
-    this.#holder.hold(pool, tokens, epoch, this.#deps.self.instance);
-  }
-
-  async #tickOwner(owner: TeamOwner): Promise<void> {
-    const {guard, retirements, self} = this.#deps;
-    if (guard.isCutOff || guard.isRetired(self.instance)) return;
-    for (const holder of owner.holders) {
-      if (retirements.isSafe(holder)) owner.reclaim(holder);
-    }
-    const open = this.#predecessors;
-    if (open.length > 0 && open.every(one => retirements.isSafe(one))) {
-      this.#predecessors = [];
-      owner.closeAdoption();
-      await this.#ownership.closePredecessors(owner.epoch);
-    }
-    await owner.askForReports();
+    const {epoch} = this.#role;
+    if (this.#owner === undefined || this.#ownership.epoch <= epoch) return;
+    const {share, tokens} = this.#role.close();
+    this.#holder.hold(share, tokens, epoch, this.#deps.self.instance);
   }
 
   async #handOn(owner: TeamOwner): Promise<void> {
@@ -390,13 +303,13 @@
     );
   }
 
-  #context(): SyncContext {
+  #context(purpose: SyncPurpose = 'report'): SyncContext {
     return {
       team: this.#deps.team,
       holder: this.#deps.self.instance,
       seq: this.#deps.nextSeq(),
       knownEpoch: this.#ownership.epoch,
-      demand: this.#meter.perSecond,
+      demand: purpose === 'release' ? 0 : this.#meter.perSecond,
       waiting: this.#waiting,
     };
   }
--- a/src/peers/peer-pool.ts
+++ b/src/peers/peer-pool.ts
@@ -99,6 +99,8 @@
     options: CallOptions,
   ): Promise<unknown> {
     this.#checkOpen();
+    const open = this.#openLink(to);
+    if (open !== undefined) return open.call(method, body, options);
     const startMs = this.#clock.now();
     let link = await this.#waitFor(this.#link(to), to, options);
     if (!link.usable) {
@@ -139,6 +141,13 @@
     throw new PeerError('notSent', 'this node is closing its connections');
   }
 
+  /** The connection to a node, if it is open already. */
+  #openLink(to: PeerAddress): PeerLink | undefined {
+    const entry = this.#entries.get(to.id);
+    if (entry === undefined || !isCurrent(entry, to)) return undefined;
+    return entry.link?.usable ? entry.link : undefined;
+  }
+
   #link(to: PeerAddress): Promise<PeerLink> {
     const existing = this.#entries.get(to.id);
     if (existing !== undefined && isCurrent(existing, to)) {
