--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -11,6 +11,7 @@
 import {BodyReader} from './body-reader.js';
 import {CallerSession} from './caller-session.js';
 import {CancelKeys} from './cancel-keys.js';
+import {endSocket} from './end-socket.js';
 import {
   askCleartextPassword,
   authenticationOk,
@@ -144,7 +145,7 @@
     try {
       const startup = await readStartup(socket, this.#options.tls);
       if (startup.kind === 'cancel') this.#cancelAnywhere(startup.key);
-      if (startup.kind !== 'session') return void socket.end();
+      if (startup.kind !== 'session') return endSocket(socket);
       startup.socket.on('error', () => socket.destroy());
       await this.#startSession(startup, timer);
     } catch (err) {
@@ -160,7 +161,7 @@
     if (!known) this.#options.deps.log.error('callerFailed', {message});
     if (socket.destroyed) return;
     const verdict = notRun('badRequest', known ? message : 'internal error');
-    socket.end(errorResponse(toErrorFields(verdict)));
+    endSocket(socket, errorResponse(toErrorFields(verdict)));
   }
 
   #cancelAnywhere(key: CancelKey): void {
@@ -173,14 +174,14 @@
   ): Promise<void> {
     const {socket} = startup;
     const refusal = this.#refusalAtStart();
-    if (refusal !== undefined) return void socket.end(errorResponse(refusal));
+    if (refusal !== undefined) return endSocket(socket, errorResponse(refusal));
     const authority = await this.#authenticate(startup);
     clearTimeout(timer);
     if (authority === undefined) return;
     const {signer, deadlineMs} = this.#options.deps;
     const parameters = new SessionParameters(signer, deadlineMs);
     const fault = applyStartup(parameters, startup.params);
-    if (fault !== undefined) return void socket.end(errorResponse(fault));
+    if (fault !== undefined) return endSocket(socket, errorResponse(fault));
     const session = new CallerSession(
       startup,
       this.#options.deps,
@@ -220,7 +221,7 @@
     const database = params.get('database') ?? team;
     const route = access.route(database);
     if (route.kind === 'refused') {
-      socket.end(errorResponse(toErrorFields(route.verdict)));
+      endSocket(socket, errorResponse(toErrorFields(route.verdict)));
       return undefined;
     }
     if (route.kind === 'open') return access.openAuthority(database);
@@ -233,7 +234,7 @@
     const key = new BodyReader(frame.body).cstring();
     const outcome = access.authenticate(team, database, key);
     if (outcome.kind === 'accepted') return outcome.authority;
-    socket.end(errorResponse(toErrorFields(outcome.verdict)));
+    endSocket(socket, errorResponse(toErrorFields(outcome.verdict)));
     return undefined;
   }
 }
--- a/src/callers/caller-session.ts
+++ b/src/callers/caller-session.ts
@@ -9,6 +9,7 @@
 } from '../routing/statement.js';
 import {BatchBuilder, ParseFilter} from './batch.js';
 import {BodyReader} from './body-reader.js';
+import {endSocket} from './end-socket.js';
 import {
   commandComplete,
   emptyQueryResponse,
@@ -99,7 +100,7 @@
     } finally {
       this.#runner.abandon();
       this.#output.flush();
-      this.#channel.socket.end();
+      endSocket(this.#channel.socket);
     }
   }
 
@@ -114,11 +115,17 @@
    */
   close(fields: ErrorFields, graceful: boolean): void {
     this.#closing = fields;
-    if (this.#busy) return;
-    if (graceful && this.#runner.transaction !== 'idle') return;
+    if (this.#busy || (graceful && !this.#isBetweenRequests)) return;
     this.#writeError(fields);
     this.#output.flush();
     this.#channel.socket.end();
+    // A statement on its way is told that it did not run, so it must not.
+    this.#channel.reader.stop();
+  }
+
+  /** Whether neither a transaction nor a batch is open. */
+  get #isBetweenRequests(): boolean {
+    return this.#runner.transaction === 'idle' && this.#batch.isEmpty;
   }
 
   /** Serves one message; false when the session is over. */
@@ -133,8 +140,7 @@
       this.#output.flush();
     }
     if (this.#closing === undefined) return true;
-    if (this.#runner.transaction !== 'idle' || !this.#batch.isEmpty)
-      return true;
+    if (!this.#isBetweenRequests) return true;
     this.#writeError(this.#closing);
     return false;
   }
--- a/src/callers/session-output.ts
+++ b/src/callers/session-output.ts
@@ -32,7 +32,7 @@
     const pending = this.#pending;
     this.#pending = [];
     this.#pendingBytes = 0;
-    if (pending.length === 0 || this.#socket.destroyed) return true;
+    if (pending.length === 0 || !this.#socket.writable) return true;
     return this.#socket.write(Buffer.concat(pending));
   }
 
--- a/src/callers/socket-reader.ts
+++ b/src/callers/socket-reader.ts
@@ -32,6 +32,7 @@
 export class SocketReader {
   readonly #socket: Duplex;
   #ended = false;
+  #stopped = false;
   #wake: (() => void) | undefined;
 
   constructor(socket: Duplex) {
@@ -46,9 +47,17 @@
     socket.on('error', end);
   }
 
+  /** Reads nothing any more, as if the connection had ended. */
+  stop(): void {
+    this.#stopped = true;
+    this.#ended = true;
+    this.#wake?.();
+  }
+
   /** Exactly `count` bytes; undefined if the connection ended before any. */
   async read(count: number): Promise<Buffer | undefined> {
     for (;;) {
+      if (this.#stopped) return undefined;
       const chunk = this.#socket.read(count) as Buffer | null;
       if (chunk !== null && chunk.length === count) return chunk;
       if (chunk !== null && chunk.length > 0) {
--- /dev/null
+++ b/test/callers/faults.test.ts
@@ -0,0 +1,188 @@
+import {serialize} from 'pg-protocol';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import type {Database} from '../../standins/database/index.js';
+import {Harness, type TestClient} from './harness.js';
+import {codesOf, rowsOf} from './wire-client.js';
+
+const WAIT = {timeout: 10_000, interval: 10};
+const INSERT = 'INSERT INTO claims (id, team, value) VALUES ($1, $2, $3)';
+const MEGABYTE = 1024 * 1024;
+
+describe('faults', () => {
+  let harness: Harness;
+  let serial = 0;
+  beforeEach(async () => {
+    harness = new Harness({databases: {slots: 2}});
+    await harness.start();
+  });
+  afterEach(() => harness.stop());
+
+  /** Turns a switch of a database: `freeze` or `service`. */
+  async function turn(name: string, database: Database, ms: number) {
+    const url = `http://127.0.0.1:${database.adminPort}/${name}`;
+    await fetch(url, {method: 'POST', body: JSON.stringify({ms})});
+  }
+
+  /** Statements that a database has begun. */
+  async function countStatements({adminPort}: Database): Promise<number> {
+    const res = await fetch(`http://127.0.0.1:${adminPort}/counts`);
+    return ((await res.json()) as {statements: number}).statements;
+  }
+
+  /** Waits until the home knows the primary. */
+  async function connectReady(): Promise<TestClient> {
+    const client = await harness.connect();
+    await client.query(INSERT, [`ready-${++serial}`, 'red', 1]);
+    return client;
+  }
+
+  it('says that a write may have run when its primary is lost', async () => {
+    const client = await connectReady();
+    await turn('freeze', harness.primary, 60_000);
+    const write = client.query(INSERT, ['unknown', 'red', 1]);
+    const outcome = expect(write).rejects.toMatchObject({
+      code: '08007',
+      detail: expect.stringMatching(/^outcome=may_have_run/),
+    });
+    await vi.waitFor(() => expect(harness.node.homes.active).toBe(1), WAIT);
+    await harness.primary.close();
+    await outcome;
+  });
+
+  it('keeps what a lost transaction left from being committed', async () => {
+    const wire = await harness.connectWire();
+    await connectReady();
+    await wire.logIn();
+    await wire.query('BEGIN');
+    const lost = harness.primary;
+    await lost.close();
+    const insert = (id: string) =>
+      serialize.query(
+        `INSERT INTO claims (id, team, value) VALUES ('${id}', 'red', 1)`,
+      );
+    wire.send(insert('half-1'), insert('half-2'), serialize.query('COMMIT'));
+    expect(codesOf(await wire.until('Z'))).toEqual(['57P03']);
+    expect(codesOf(await wire.until('Z'))).toEqual(['25P02']);
+    const end = await wire.until('Z');
+    expect(end[0]?.bytes.toString()).toContain('ROLLBACK');
+    const rest = harness.databases.filter(one => one !== lost);
+    for (const {member} of rest) {
+      const ids = [...member.rows.rows('claims')].map(({id}) => id);
+      expect(ids.filter(id => id.startsWith('half'))).toEqual([]);
+    }
+  });
+
+  it('serves a read elsewhere when its replica is lost', async () => {
+    const clients = await Promise.all(
+      Array.from({length: 8}, () => connectReady()),
+    );
+    const [replica] = harness.replicas;
+    if (replica === undefined) throw new Error('the group has no replica');
+    await turn('service', replica, 60_000);
+    const before = await countStatements(replica);
+    const reads = clients.map(client => client.query('SELECT 1'));
+    const all = Promise.all(reads);
+    await vi.waitFor(
+      async () =>
+        expect(await countStatements(replica)).toBeGreaterThan(before),
+      WAIT,
+    );
+    await replica.close();
+    for (const {rowCount} of await all) expect(rowCount).toBe(1);
+  });
+
+  it('gives no late answer to another request', async () => {
+    const clients = await Promise.all(
+      Array.from({length: 6}, () => connectReady()),
+    );
+    for (const client of clients) {
+      await client.query("SET zinnia.deadline_ms = '300'");
+    }
+    for (const one of harness.databases) await turn('freeze', one, 700);
+    const late = clients.map((client, n) =>
+      client.query(`SELECT generate_series(1, ${n + 10})`).catch(() => {}),
+    );
+    await Promise.all(late);
+    for (const client of clients) {
+      await client.query("SET zinnia.deadline_ms = '10000'");
+    }
+    await Promise.all(
+      clients.map(async (client, n) => {
+        for (let round = 0; round < 10; round++) {
+          const sql = `SELECT generate_series(1, ${n + 100})`;
+          expect((await client.query(sql)).rowCount).toBe(n + 100);
+        }
+      }),
+    );
+  });
+
+  it('refuses what the queue cannot serve in time', async () => {
+    const clients = await Promise.all(
+      Array.from({length: 20}, () => connectReady()),
+    );
+    for (const client of clients) {
+      await client.query("SET zinnia.deadline_ms = '300'");
+      harness.access.staleMs = 0;
+    }
+    const outcomes = await Promise.allSettled(
+      clients.map(client => client.query('SELECT pg_sleep(0.2)')),
+    );
+    const refused = outcomes.flatMap(one =>
+      one.status === 'rejected' ? [one.reason as {code: string}] : [],
+    );
+    expect(refused.map(({code}) => code)).toContain('53300');
+    for (const err of refused.filter(({code}) => code === '53300')) {
+      expect(err).toMatchObject({
+        detail: expect.stringMatching(/^outcome=not_run .*retry_after_ms=\d+$/),
+      });
+    }
+  });
+
+  it('passes the rate limit on as 53400 with the time to come back', async () => {
+    const client = await connectReady();
+    harness.admission.refuseAfterMs = 120;
+    await expect(client.query('SELECT 1')).rejects.toMatchObject({
+      code: '53400',
+      detail: 'outcome=not_run reason=rateLimited retry_after_ms=120',
+    });
+    harness.admission.refuseAfterMs = undefined;
+    expect((await client.query('SELECT 1')).rowCount).toBe(1);
+  });
+
+  it('never refuses the end of a transaction by the rate', async () => {
+    const client = await connectReady();
+    await client.query('BEGIN');
+    await client.query(INSERT, ['paid', 'red', 1]);
+    harness.admission.refuseAfterMs = 120;
+    expect((await client.query('COMMIT')).command).toBe('COMMIT');
+  });
+
+  it('holds little of a large answer for a slow reader', async () => {
+    const wire = await harness.connectWire();
+    await wire.logIn();
+    await wire.query('SELECT 1');
+    wire.socket.pause();
+    const before = process.memoryUsage().arrayBuffers;
+    wire.send(serialize.query('SELECT generate_series(1, 3000000)'));
+    await vi.waitFor(
+      () => expect(wire.socket.bytesWritten).toBeGreaterThan(0),
+      WAIT,
+    );
+    let most = 0;
+    const other = await harness.connect();
+    for (let round = 0; round < 100; round++) {
+      await other.query('SELECT 1');
+      most = Math.max(most, process.memoryUsage().arrayBuffers - before);
+    }
+    expect(most).toBeLessThan(16 * MEGABYTE);
+    wire.destroy();
+  });
+
+  it('delivers a large answer whole', async () => {
+    const wire = await harness.connectWire();
+    await wire.logIn();
+    const rows = rowsOf(await wire.query('SELECT generate_series(1, 200000)'));
+    expect(rows).toHaveLength(200_000);
+    expect(rows.at(-1)).toBe('200000');
+  });
+});
--- /dev/null
+++ b/test/callers/shutdown.test.ts
@@ -0,0 +1,91 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {serialize} from 'pg-protocol';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {Harness} from './harness.js';
+import {codesOf, rowsOf} from './wire-client.js';
+
+const WAIT = {timeout: 10_000, interval: 10};
+const DRAIN_MS = 5_000;
+
+describe('shutdown', () => {
+  let harness: Harness;
+  beforeEach(async () => {
+    harness = new Harness({});
+    await harness.start();
+  });
+  afterEach(() => harness.stop());
+
+  it('ends running statements and open transactions first', async () => {
+    const idle = await harness.connectWire();
+    const busy = await harness.connectWire();
+    const open = await harness.connectWire();
+    for (const wire of [idle, busy, open]) await wire.logIn();
+    await open.query('BEGIN');
+    const answer = busy.query('SELECT pg_sleep(0.2)');
+    await vi.waitFor(() => expect(harness.node.homes.active).toBe(2), WAIT);
+    const drained = harness.node.server.drain(DRAIN_MS);
+    expect(codesOf(await idle.until('E'))).toEqual(['57P01']);
+    expect(rowsOf(await answer)).toHaveLength(1);
+    expect(codesOf(await busy.until('E'))).toEqual(['57P01']);
+    expect(rowsOf(await open.query('SELECT 1'))).toEqual(['1']);
+    expect(codesOf(await open.query('COMMIT'))).toEqual([]);
+    expect(codesOf(await open.until('E'))).toEqual(['57P01']);
+    expect(await drained).toBe(0);
+  });
+
+  it('lets a batch that has begun to arrive end', async () => {
+    const wire = await harness.connectWire();
+    await wire.logIn();
+    wire.send(serialize.parse({text: 'SELECT 1'}), serialize.bind());
+    wire.send(serialize.query('SELECT 1').subarray(0, 3));
+    await vi.waitFor(
+      () => expect(wire.socket.bytesWritten).toBeGreaterThan(60),
+      WAIT,
+    );
+    wire.send(serialize.query('SELECT 1').subarray(3));
+    await wire.until('Z');
+    const drained = harness.node.server.drain(DRAIN_MS);
+    wire.send(serialize.execute(), serialize.sync());
+    expect(rowsOf(await wire.until('Z'))).toEqual(['1']);
+    expect(await drained).toBe(0);
+  });
+
+  it('runs nothing that it tells the caller did not run', async () => {
+    const wire = await harness.connectWire();
+    await wire.logIn();
+    // A write finds its primary at once then.
+    await wire.query("DELETE FROM claims WHERE id = 'none'");
+    const drained = harness.node.server.drain(DRAIN_MS);
+    wire.send(
+      serialize.query(
+        "INSERT INTO claims (id, team, value) VALUES ('late', 'red', 1)",
+      ),
+    );
+    expect(codesOf(await wire.until('E'))).toEqual(['57P01']);
+    await drained;
+    await wire.closed();
+    expect([...harness.primary.member.rows.rows('claims')]).toEqual([]);
+  });
+
+  it('cuts what does not end in time and counts it', async () => {
+    const wire = await harness.connectWire();
+    await wire.logIn();
+    await wire.query('BEGIN');
+    expect(await harness.node.server.drain(50)).toBe(1);
+    await wire.closed();
+  });
+
+  it('cuts off a refused caller that does not close', async () => {
+    const {port} = harness.node.server;
+    const socket = connect({port, host: '127.0.0.1', allowHalfOpen: true});
+    socket.on('error', () => {});
+    socket.resume();
+    socket.write(serialize.startup({user: 'red', database: 'nowhere'}));
+    await once(socket, 'end');
+    await vi.waitFor(() => {
+      socket.write(Buffer.alloc(1));
+      expect(socket.destroyed).toBe(true);
+    }, WAIT);
+  });
+});
