--- /dev/null
+++ b/test/home/database-lane.test.ts
@@ -0,0 +1,94 @@
+import {describe, expect, it} from 'vitest';
+import {DatabaseLane, type SlotResult} from '../../src/home/database-lane.js';
+import type {TargetConnection} from '../../src/targets/types.js';
+import {VirtualClock} from '../fakes/virtual-clock.js';
+
+const DEADLINE_MS = 1_000;
+const REQUESTS = 2_000;
+const SLOTS = 2;
+/** One statement more than slots is sent, so that no slot stands idle. */
+const CONCURRENCY = SLOTS + 1;
+
+function createConnection(): TargetConnection {
+  return {
+    usable: true,
+    transaction: 'idle',
+    run: () => Promise.reject(new Error('not used')),
+    cancel: async () => {},
+    close: () => {},
+  };
+}
+
+function createLane(clock: VirtualClock) {
+  let connects = 0;
+  const lane = new DatabaseLane({
+    clock,
+    spec: {
+      id: 'db1',
+      host: '127.0.0.1',
+      port: 1,
+      dataCentre: 'hobart',
+      provider: 'old',
+      slots: SLOTS,
+      maxConnections: 16,
+    },
+    connect: async () => {
+      connects++;
+      return createConnection();
+    },
+    connectionShare: () => 12,
+    weightOf: () => 1,
+  });
+  return {lane, connects: () => connects};
+}
+
+async function settle(): Promise<void> {
+  for (let n = 0; n < 10; n++) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
+
+describe('database lane', () => {
+  it('refuses at once what cannot be served in time', async () => {
+    const clock = new VirtualClock();
+    const {lane} = createLane(clock);
+    const results: SlotResult[] = [];
+    for (let n = 0; n < REQUESTS; n++) {
+      void lane
+        .acquire({team: 'red', priority: 'ordinary', deadlineAt: DEADLINE_MS})
+        .then(result => void results.push(result));
+    }
+    await settle();
+    const granted = results.filter(({kind}) => kind === 'granted');
+    const refused = results.flatMap(one =>
+      one.kind === 'refused' ? [one.verdict] : [],
+    );
+    expect(granted).toHaveLength(CONCURRENCY);
+    expect(refused.length).toBeGreaterThan(0);
+    expect(lane.outstanding).toBe(REQUESTS - refused.length);
+    for (const {reason, retryAfterMs} of refused) {
+      expect(reason).toBe('overloaded');
+      expect(retryAfterMs).toBeGreaterThan(0);
+    }
+  });
+
+  it('gives a released slot and its connection to the next', async () => {
+    const {lane, connects} = createLane(new VirtualClock());
+    const req = {
+      team: 'red',
+      priority: 'ordinary',
+      deadlineAt: DEADLINE_MS,
+    } as const;
+    const first = await Promise.all(
+      Array.from({length: CONCURRENCY}, () => lane.acquire(req)),
+    );
+    const waiting = lane.acquire(req);
+    const [one] = first;
+    if (one?.kind !== 'granted') throw new Error('the slot was refused');
+    one.slot.release();
+    one.slot.release();
+    expect((await waiting).kind).toBe('granted');
+    expect(connects()).toBe(CONCURRENCY);
+    expect(lane.outstanding).toBe(CONCURRENCY);
+  });
+});
