--- a/src/groups/failover-agent.ts
+++ b/src/groups/failover-agent.ts
@@ -2,16 +2,20 @@
 import type {Clock, Random} from '../platform/clock.js';
 import {
   assessNeed,
+  suspect,
   type EvidencePort,
   type FailoverCause,
   type Need,
 } from './evidence.js';
 import {orderFailover, type FailoverResult} from './failover.js';
+import {highestTerm} from './group-view.js';
 import type {GroupMonitor} from './monitor.js';
 import type {DatabaseRank} from './promotion.js';
 import type {DatabaseControl} from './types.js';
 
-const CHECK_PERIOD_MS = 100;
+const CHECK_PERIOD_MS = 50;
+/** How often other nodes are asked about a primary that they do reach. */
+const LINK_FAULT_PAUSE_MS = 500;
 /** Spreads the nodes that notice at once, so that mostly one orders. */
 const ORDER_JITTER_MS = 100;
 const FIRST_BACKOFF_MS = 100;
@@ -60,6 +64,8 @@
   readonly #stopping = new AbortController();
   #attempts = 0;
   #held = false;
+  /** When to ask other nodes again after they contradicted. */
+  #askOthersAt = -Infinity;
 
   constructor(options: FailoverAgentOptions) {
     this.#options = options;
@@ -108,13 +114,13 @@
     const {clock, random, monitor, controls, rank} = this.#options;
     const {signal} = this.#stopping;
     await clock.sleep(random.next() * ORDER_JITTER_MS, signal);
-    await monitor.refreshNow();
+    const seenTerm = highestTerm(await monitor.refreshNow());
     const need = await this.#assess();
     if (need.kind !== 'needed' || need.cause !== cause) return undefined;
     if (signal.aborted || this.#held) return undefined;
     const orderer = this.nextOrderer();
     const {suspectId} = need;
-    const order = {clock, controls, orderer, suspectId, rank};
+    const order = {clock, controls, orderer, suspectId, seenTerm, rank};
     const result = await orderFailover(order);
     this.#options.onEvent?.({kind: 'ordered', cause, result});
     await monitor.refreshNow();
@@ -128,7 +134,6 @@
     let cause: FailoverCause | undefined;
     for (;;) {
       const need = await this.#assess();
-      if (need.kind === 'linkFault') this.#options.onEvent?.(need);
       if (need.kind !== 'needed') return undefined;
       cause ??= need.cause;
       if (need.cause !== cause || this.#stopping.signal.aborted) {
@@ -139,9 +144,19 @@
     }
   }
 
-  #assess(): Promise<Need> {
-    const {monitor, evidence} = this.#options;
-    return assessNeed(monitor.current(), evidence);
+  async #assess(): Promise<Need> {
+    const {clock, monitor, evidence} = this.#options;
+    const view = monitor.current();
+    const suspicion = suspect(view);
+    const asksOthers =
+      suspicion.kind === 'suspected' &&
+      suspicion.cause === 'primaryUnreachable';
+    if (asksOthers && clock.now() < this.#askOthersAt) return {kind: 'healthy'};
+    const need = await assessNeed(view, evidence);
+    if (need.kind !== 'linkFault') return need;
+    this.#askOthersAt = clock.now() + LINK_FAULT_PAUSE_MS;
+    this.#options.onEvent?.(need);
+    return need;
   }
 
   /** Jittered, so that two nodes that outbid each other part. */
--- a/src/membership/known-vm.ts
+++ b/src/membership/known-vm.ts
@@ -17,14 +17,16 @@
   record: VmRecord;
   identity: MemberIdentity;
   listing: Listing;
+  /** Whether this node, hearing no majority, may itself be at fault. */
+  isDoubtful: boolean;
   /** Running time of this node since the status last changed. */
   statusForMs: number;
 }
 
 /** A VM of which nobody has spoken yet. */
 export function createKnownVm(record: VmRecord, listing: Listing): KnownVm {
-  const identity = {instance: '', incarnation: -1, status: 'alive'} as const;
-  return {record, identity, listing, statusForMs: 0};
+  const identity = {instance: '', incarnation: 0, status: 'alive'} as const;
+  return {record, identity, listing, isDoubtful: false, statusForMs: 0};
 }
 
 /** Whether a VM may be given work. */
@@ -43,11 +45,17 @@
   const dismissed = state === 'leaving' || listing === 'removed';
   const status =
     dismissed && identity.status !== 'dead' ? 'leaving' : identity.status;
-  return {...place, status, listed: listing === 'listed'};
+  const {instance} = identity;
+  return {...place, instance, status, listed: listing === 'listed'};
 }
 
 /** What other nodes are told of a VM. */
-export function toDelta({record, identity, listing}: KnownVm): MemberDelta {
-  const delta = {id: record.id, ...identity};
-  return listing === 'unlisted' ? {...delta, record} : delta;
+export function toDelta(vm: KnownVm): MemberDelta {
+  const {record, identity, listing, isDoubtful} = vm;
+  return {
+    id: record.id,
+    ...identity,
+    ...(listing === 'unlisted' ? {record} : {}),
+    ...(isDoubtful ? {doubtful: true} : {}),
+  };
 }
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -16,6 +16,8 @@
 
 /** A VM of the system. */
 export interface Member extends Omit<VmRecord, 'state'> {
+  /** The process that runs on it; empty while nobody has heard of it. */
+  readonly instance: string;
   readonly status: MemberStatus;
   /** Whether the platform's list contains it. */
   readonly listed: boolean;
@@ -26,13 +28,16 @@
   readonly id: string;
   /** Present if the other node may not know the VM from the list. */
   readonly record?: VmRecord;
+  /** Set if the sender heard no majority and may itself be at fault. */
+  readonly doubtful?: true;
 }
 
 const STATUS_RANK: Readonly<Record<MemberStatus, number>> = {
   alive: 0,
   suspect: 1,
-  leaving: 2,
-  dead: 3,
+  dead: 2,
+  // Final for the process that announced it, whether it still runs or not.
+  leaving: 3,
 };
 
 /** Whether `next` is newer than `current`. */
--- a/src/membership/members.ts
+++ b/src/membership/members.ts
@@ -2,9 +2,10 @@
 
 import type {Clock} from '../platform/clock.js';
 import type {VmRecord} from '../platform/vm-list.js';
-import {HomeOrders, type HomeOrderOptions} from './home-orders.js';
+import {MemberView, type HomeOrderOptions} from './member-view.js';
 import {createKnownVm, isLive, toMember, type KnownVm} from './known-vm.js';
 import {HeardTable} from './heard-table.js';
+import {isOldSuspicion, resolveStatus} from './status-rules.js';
 import {MemberChanges} from './member-changes.js';
 import {MemberDigest} from './member-digest.js';
 import {
@@ -18,11 +19,11 @@
 /** How long a suspicion waits for its refutation. */
 export const DEFAULT_SUSPICION_MS = 2_000;
 
-/** How recently a majority must have been heard for accusations to spread. */
-const ACCUSE_HEARD_MS = 3_000;
+/** How recently a majority must have been heard for a failure to be credible. */
+const CREDIBLE_HEARD_MS = 3_000;
 
-/** How long a dead VM that is not listed is remembered. */
-const FORGET_DEAD_MS = 600_000;
+/** How long a dead or leaving VM that is not listed is remembered. */
+const FORGET_GONE_MS = 600_000;
 
 /** Settings of the aggregate. */
 export interface MembersOptions {
@@ -42,25 +43,18 @@
   readonly #digest: MemberDigest;
   readonly #heard: HeardTable;
   readonly #listeners = new Set<() => void>();
-  readonly #homeOrders = new HomeOrders(() => this.live());
-  #members: readonly Member[] | undefined;
-  #live: readonly Member[] | undefined;
+  readonly #view = new MemberView(this.#vms);
   #listRevision = 0;
 
   constructor(options: MembersOptions) {
     this.#options = options;
     this.#heard = new HeardTable(options.clock, options.self.id);
     this.#changes = new MemberChanges(options.clock);
-    this.#digest = new MemberDigest(this.#vms, this.#changes, () =>
-      this.hearsMajority(ACCUSE_HEARD_MS),
-    );
+    this.#digest = new MemberDigest(this.#vms, this.#changes);
     const {self, instance} = options;
-    this.#vms.set(self.id, {
-      record: self,
-      identity: {instance, incarnation: 0, status: 'alive'},
-      listing: 'unlisted',
-      statusForMs: 0,
-    });
+    const vm = createKnownVm(self, 'unlisted');
+    vm.identity = {...vm.identity, instance};
+    this.#vms.set(self.id, vm);
     this.#changes.note(self.id);
   }
 
@@ -91,8 +85,7 @@
 
   /** Every known VM. */
   all(): readonly Member[] {
-    this.#members ??= [...this.#vms.values()].map(toMember);
-    return this.#members;
+    return this.#view.all();
   }
 
   /** A VM by its id. */
@@ -103,8 +96,7 @@
 
   /** VMs that may be given work: neither dead nor leaving. */
   live(): readonly Member[] {
-    this.#live ??= this.all().filter(isLive);
-    return this.#live;
+    return this.#view.live();
   }
 
   /**
@@ -117,7 +109,7 @@
     groupName: string,
     options: HomeOrderOptions = {},
   ): readonly Member[] {
-    return this.#homeOrders.resolve(groupName, options);
+    return this.#view.homeOrder(groupName, options);
   }
 
   /** Listed VMs that this node has heard of within `ms`, itself included. */
@@ -125,11 +117,6 @@
     return this.#heard.countWithin(ms);
   }
 
-  /** Whether more than half of the listed VMs were heard of within `ms`. */
-  hearsMajority(ms: number): boolean {
-    return 2 * this.heardWithin(ms) > this.#heard.listedCount;
-  }
-
   /** Takes the platform's list; older revisions are ignored. */
   applyList(records: readonly VmRecord[], revision: number): void {
     if (revision <= this.#listRevision) return;
@@ -137,7 +124,9 @@
     const ids = new Set(records.map(record => record.id));
     for (const record of records) this.#applyRecord(record);
     for (const [id, vm] of this.#vms) {
-      if (!ids.has(id) && vm.listing === 'listed') vm.listing = 'removed';
+      if (ids.has(id) || vm.listing !== 'listed') continue;
+      vm.listing = 'removed';
+      vm.statusForMs = 0;
     }
     this.#heard.setListed([...ids], revision);
     const unchanged = this.selfIdentity.incarnation === 0;
@@ -150,15 +139,16 @@
     if (delta.id === this.selfId) return this.#refute(delta);
     const vm = this.#vms.get(delta.id) ?? this.#introduce(delta);
     if (vm === undefined || !supersedes(delta, vm.identity)) return;
+    if (isOldSuspicion(delta, vm.identity)) return;
+    const isDoubtful = delta.doubtful === true;
+    if (isDoubtful && this.isCredible) return;
+    vm.isDoubtful = isDoubtful;
     const {instance, incarnation, status} = delta;
-    // A death that comes as news is only suspected, so that the VM may refute.
-    const expected =
-      vm.identity.status !== 'alive' && vm.identity.incarnation === incarnation;
-    const isNews = status === 'dead' && !expected;
+    // A death by hearsay is only suspected, so that the VM may refute it.
     this.#set(vm, {
       instance,
       incarnation,
-      status: isNews ? 'suspect' : status,
+      status: status === 'dead' ? 'suspect' : status,
     });
   }
 
@@ -175,27 +165,40 @@
     this.#set(vm, identity);
   }
 
-  /** Notes that a VM answered no probe. */
-  suspect(id: string): void {
+  /** Whether this node hears enough of the others to judge one of them. */
+  get isCredible(): boolean {
+    return this.#heard.hearsMajority(CREDIBLE_HEARD_MS);
+  }
+
+  /**
+   * Notes that a VM answered no probe.
+   *
+   * @param wasCredible Whether this node was credible when the probe began.
+   */
+  suspect(id: string, wasCredible = true): void {
     const vm = this.#vms.get(id);
     if (vm === undefined || id === this.selfId) return;
-    const {status} = vm.identity;
-    if (status === 'alive') this.#set(vm, {...vm.identity, status: 'suspect'});
-    if (status === 'leaving') this.#set(vm, {...vm.identity, status: 'dead'});
+    if (vm.identity.status !== 'alive') return;
+    vm.isDoubtful = !wasCredible || !this.isCredible;
+    this.#set(vm, {...vm.identity, status: 'suspect'});
   }
 
   /** Lets `elapsedMs` of this node's running time pass for each status. */
   passTime(elapsedMs: number): void {
-    const limitMs = this.#options.suspicionMs ?? DEFAULT_SUSPICION_MS;
+    const {isCredible} = this;
+    const suspicionMs = this.#options.suspicionMs ?? DEFAULT_SUSPICION_MS;
     for (const [id, vm] of this.#vms) {
+      if (id === this.selfId) continue;
       vm.statusForMs += elapsedMs;
-      const {status} = vm.identity;
-      if (status === 'suspect' && vm.statusForMs >= limitMs) {
-        this.#set(vm, {...vm.identity, status: 'dead'});
-      }
-      if (status === 'dead' && vm.statusForMs >= FORGET_DEAD_MS) {
-        if (vm.listing !== 'listed') this.#forget(id);
+      const heardAgeMs = this.#heard.ageMs(id);
+      const evidence = {isCredible, heardAgeMs, suspicionMs};
+      const status = resolveStatus(vm, evidence);
+      if (status !== vm.identity.status) {
+        vm.isDoubtful = !isCredible;
+        this.#set(vm, {...vm.identity, status});
       }
+      const gone = vm.listing !== 'listed' && !isLive(toMember(vm));
+      if (gone && vm.statusForMs >= FORGET_GONE_MS) this.#forget(id);
     }
   }
 
@@ -250,21 +253,21 @@
   }
 
   #set(vm: KnownVm, identity: MemberIdentity): void {
-    const {incarnation, status} = vm.identity;
+    const {instance, status} = vm.identity;
     vm.identity = identity;
+    if (identity.status === 'alive') vm.isDoubtful = false;
     const changed = identity.status !== status;
+    const restarted = identity.instance !== instance;
     // That a listed VM runs for the first time is no news to anyone.
-    const isNews = incarnation >= 0 || vm.listing === 'unlisted';
+    const isNews = instance !== '' || vm.listing === 'unlisted';
     if (changed || isNews) this.#changes.note(vm.record.id);
-    if (!changed) return this.#digest.clear();
-    vm.statusForMs = 0;
+    if (!changed && !restarted) return this.#digest.clear();
+    if (changed) vm.statusForMs = 0;
     this.#notify();
   }
 
   #notify(): void {
-    this.#members = undefined;
-    this.#live = undefined;
-    this.#homeOrders.clear();
+    this.#view.clear();
     this.#digest.clear();
     for (const listener of this.#listeners) listener();
   }
--- a/test/groups/failover-agent.test.ts
+++ b/test/groups/failover-agent.test.ts
@@ -76,12 +76,28 @@
     expect(group.leader?.spec.id).not.toBe('db-1');
   });
 
+  test('waits no longer when no other node answers', async () => {
+    for (const node of nodes.slice(1)) node.clock.pause();
+    // Just before it is asked: found unreachable before the replicas complain.
+    await time.advance(190);
+    group.database('db-1').crash();
+    expect(await gapMs(nodes[0]!, 'replica')).toBeLessThanOrEqual(1_000);
+  });
+
   test('leaves a primary that answers late but in time', async () => {
     for (const node of NODES) group.links.between(node, 'db-1').delayMs = 240;
     await time.advance(10_000);
     expect(ordered()).toEqual([]);
   });
 
+  test('leaves a primary that is away for a moment', async () => {
+    group.database('db-1').crash();
+    await time.advance(400);
+    group.database('db-1').restart();
+    await time.advance(2_000);
+    expect(ordered()).toEqual([]);
+  });
+
   test('orders nothing for the flapping link of one node', async () => {
     for (let i = 0; i < 8; i++) {
       group.links.cut(['vm-1'], ['db-1']);
@@ -182,6 +198,32 @@
     }
   });
 
+  test('orders one failover for one fault, though all nodes notice', async () => {
+    group.links.cut(['db-1'], [...NODES, ...DATABASES]);
+    await time.advance(3_000);
+    group.links.mend(['db-1'], [...NODES, ...DATABASES]);
+    await time.advance(3_000);
+    expect(group.leader?.term).toBe(2);
+  });
+
+  test('orders nothing while it is held', async () => {
+    for (const {agent} of nodes) agent.hold();
+    group.database('db-1').crash();
+    await time.advance(3_000);
+    expect(ordered()).toEqual([]);
+    nodes[0]!.agent.release();
+    await time.advance(1_000);
+    expect(group.leader).toMatchObject({term: 2});
+  });
+
+  test('names each attempt anew', () => {
+    const names = nodes.flatMap(({agent}) => [
+      agent.nextOrderer(),
+      agent.nextOrderer(),
+    ]);
+    expect(new Set(names).size).toBe(6);
+  });
+
   test('depends on no module of the store', () => {
     for (const file of readdirSync('src/groups')) {
       const text = readFileSync(`src/groups/${file}`, 'utf8');
