--- a/bench/path.ts
+++ b/bench/path.ts
@@ -65,11 +65,12 @@
 async function measureAll(fleet: Fleet, options: Options): Promise<void> {
   const node = connectNode(fleet);
   const direct = connectReplica(fleet);
+  // Before the load, whose garbage would hide what the callers take.
+  const idleMib = await measureIdleMemory(fleet, node, options.callers);
   const directLatency = await measureLatency(direct, options.statements);
   const nodeLatency = await measureLatency(node, options.statements);
   const directRate = await measureRate(direct, options);
   const nodeRate = await measureRate(node, options);
-  const idleMib = await measureIdleMemory(fleet, node, options.callers);
   const replicaPercent = await readReplicaPercent(fleet);
   const added = (percentile: number) =>
     toMs(nodeLatency, percentile) - toMs(directLatency, percentile);
