--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,6 +1,7 @@
-/** The operators' commands on the configuration. */
+/** The operators' commands. */
 import type {CommandModule} from 'yargs';
 import {keyCommand} from './key.js';
+import {reportCommand} from './report.js';
 import {tableCommand} from './table.js';
 import {vmCommand} from './vm.js';
 
@@ -14,4 +15,5 @@
   tableCommand,
   keyCommand,
   vmCommand,
+  reportCommand,
 ];
--- /dev/null
+++ b/src/telemetry/burn-table.ts
@@ -0,0 +1,47 @@
+/** The burn report as plain text. */
+import {
+  createBurnColumns,
+  describeOverBudget,
+  describeVms,
+} from './burn-format.js';
+import type {BurnReport} from './burn-report.js';
+
+const COLUMN_GAP = '  ';
+
+/**
+ * Writes the report as an aligned table, with what each figure means below.
+ *
+ * @example
+ * console.log(formatBurnTable(report));
+ */
+export function formatBurnTable(report: BurnReport): string {
+  const columns = createBurnColumns(report);
+  const cells = [
+    columns.map(({heading}) => heading),
+    ...report.rows.map(row => columns.map(column => column.format(row))),
+  ];
+  const widths = columns.map((_, i) =>
+    Math.max(...cells.map(line => line[i]?.length ?? 0)),
+  );
+  const lines = cells.map(line =>
+    line
+      .map((cell, i) => {
+        const width = widths[i] ?? 0;
+        return columns[i]?.isNumber ? cell.padStart(width) : cell.padEnd(width);
+      })
+      .join(COLUMN_GAP)
+      .trimEnd(),
+  );
+  const over = describeOverBudget(report);
+  return [
+    `service level at ${new Date(report.collectedAt).toISOString()}, ${describeVms(report)}`,
+    `objective: ${report.objective.availabilityPercent}% available, ${report.objective.latencyMs} ms`,
+    '',
+    ...lines,
+    ...(report.rows.length === 0 ? ['no statements in these windows'] : []),
+    '',
+    ...(over.length === 0 ? ['no row is over budget'] : over),
+    '',
+    ...columns.map(({heading, meaning}) => `${heading}: ${meaning}`),
+  ].join('\n');
+}
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -11,6 +11,8 @@
 export const SLICE_MS = 10_000;
 /** Slices kept: the longest window of the burn report is one hour. */
 const MAX_SLICES = 360;
+/** How far back a node's slices reach. */
+export const RETENTION_MS = SLICE_MS * MAX_SLICES;
 /** Histograms hold microseconds up to one minute, to two digits. */
 const HISTOGRAM = {
   bitBucketSize: 32 as const,
--- /dev/null
+++ b/test/cli/report-burn.test.ts
@@ -0,0 +1,153 @@
+import {mkdtemp, readFile, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {reportBurn} from '../../src/cli/report-burn.js';
+import {EtcdStore} from '../../src/platform/etcd-store.js';
+import type {BurnReport} from '../../src/telemetry/burn-report.js';
+import {
+  createStoreServer,
+  type StoreServer,
+} from '../../standins/store/server.js';
+import {ManualClock} from '../admission/manual-clock.js';
+import {
+  createReport,
+  createSlice,
+  NOW,
+  OBJECTIVE,
+  VMS,
+  WINDOWS,
+} from '../telemetry/fixture.js';
+import {runCli} from './cli-fixture.js';
+import {JsonAdmin} from './report-admin.js';
+
+let server: StoreServer;
+let admins: readonly JsonAdmin[];
+
+/** Slices of one minute before now, whenever the test runs. */
+function recent(errors: number) {
+  const startedAt = Math.floor((Date.now() - 60_000) / 10_000) * 10_000;
+  return [createSlice(0, [10, 20], {startedAt, refused: {noPrimary: errors}})];
+}
+
+async function startFleet(answers: Readonly<Record<string, unknown>>) {
+  admins = Object.entries(answers).map(
+    ([id, body]) =>
+      new JsonAdmin(id, {
+        'GET /statements': () =>
+          body === undefined ? 'hangUp' : {body: {vm: id, slices: body}},
+      }),
+  );
+  await Promise.all(admins.map(admin => admin.listen()));
+  server.setVms(admins.map(({vm}) => vm));
+}
+
+const run = (...args: readonly string[]) =>
+  runCli(server.url, 'report', 'burn', ...args);
+
+beforeEach(async () => {
+  admins = [];
+  server = await createStoreServer({vms: []});
+});
+
+afterEach(async () => {
+  await Promise.all(admins.map(admin => admin.close()));
+  await server.close();
+});
+
+describe('zinnia report burn', () => {
+  test('collects what the listed vms counted', async () => {
+    await startFleet(Object.fromEntries(VMS.map(v => [v.vm, v.slices])));
+    const store = new EtcdStore({url: server.url});
+    const clock = new ManualClock(NOW);
+    const options = {windows: WINDOWS, objective: OBJECTIVE};
+    const report = await reportBurn({store, clock}, options);
+    expect(report).toEqual(createReport());
+  });
+
+  test('prints a table and names the vms without an answer', async () => {
+    await startFleet({vm1: recent(0), vm2: undefined});
+    const {code, out, err} = await run();
+    expect(code).toBe(0);
+    expect(out).toContain('from 1 of 2 VMs; no answer, so missing here: vm2');
+    expect(out).toMatch(/^assessors {2}claims {2}read /m);
+    expect(err).toBe('no answer from vm2');
+  });
+
+  test.each([
+    ['what is no list of slices', [{team: 'x'}]],
+    ['negative counts', [createSlice(0, [1], {done: -1})]],
+  ])('takes %s for no answer', async (_, slices) => {
+    await startFleet({vm1: slices});
+    expect((await run()).err).toBe('no answer from vm1');
+  });
+
+  test('takes no answer from another vm at a listed address', async () => {
+    await startFleet({vm1: recent(0)});
+    server.setVms(admins.map(({vm}) => ({...vm, id: 'gone'})));
+    expect((await run()).err).toBe('no answer from gone');
+  });
+
+  test('writes json', async () => {
+    await startFleet({vm1: recent(1)});
+    const {code, out} = await run('--format', 'json', '--window', '5m');
+    const report = JSON.parse(out) as BurnReport;
+    expect(code).toBe(0);
+    expect(report.rows).toHaveLength(1);
+    expect(report.rows[0]).toMatchObject({done: 2, wrongful: 1});
+    expect(report.windows).toEqual([{label: '5m', ms: 300_000}]);
+  });
+
+  test('writes html to a file', async () => {
+    await startFleet({vm1: recent(1)});
+    const dir = await mkdtemp(join(tmpdir(), 'burn-'));
+    try {
+      const path = join(dir, 'burn.html');
+      const {code, out} = await run('--format', 'html', '--output', path);
+      expect({code, out}).toEqual({code: 0, out: ''});
+      expect(await readFile(path, 'utf8')).toMatch(/^<!doctype html>[^]*<svg /);
+    } finally {
+      await rm(dir, {recursive: true});
+    }
+  });
+
+  test('exits with 1 if a burn rate is above the limit', async () => {
+    await startFleet({vm1: recent(1)});
+    const failed = await run('--fail-above', '10');
+    expect(failed.code).toBe(1);
+    expect(failed.err).toBe(
+      'error: burn rate 333.33 is above 10; the report names the rows',
+    );
+    expect((await run('--fail-above', '400')).code).toBe(0);
+  });
+
+  test('exits with 1 if no vm answers a check', async () => {
+    await startFleet({vm1: undefined});
+    const {code, err} = await run('--fail-above', '10');
+    expect(code).toBe(1);
+    expect(err).toContain('no VM answered, so no burn rate is known');
+    expect((await run()).code).toBe(0);
+  });
+
+  test('exits with 4 if the store is unreachable', async () => {
+    const {url} = server;
+    await server.close();
+    const {code, err} = await runCli(url, 'report', 'burn');
+    expect(code).toBe(4);
+    expect(err).toMatch(/^error: /);
+    server = await createStoreServer({vms: []});
+  });
+
+  test.each([
+    ['--window', '2h', 'window 2h'],
+    ['--window', '5', '5 is no window'],
+    ['--window', '1s', 'window 1s'],
+    ['--objective-availability', '100', 'below 100'],
+    ['--objective-latency-ms', '0', 'above 0'],
+    ['--fail-above', 'x', 'takes a burn rate'],
+  ])('refuses %s %s', async (flag, value, message) => {
+    const {code, err} = await run(flag, value);
+    expect(code).toBe(1);
+    expect(err).toContain(message);
+  });
+});
--- /dev/null
+++ b/test/telemetry/burn-report.test.ts
@@ -0,0 +1,103 @@
+import {describe, expect, test} from 'vitest';
+import {
+  collectBurnReport,
+  highestBurn,
+  type BurnRow,
+} from '../../src/telemetry/burn-report.js';
+import {createReport, createSlice, NOW, OBJECTIVE, VMS} from './fixture.js';
+
+function rowOf(team: string): BurnRow {
+  const row = createReport().rows.find(one => one.team === team);
+  if (row === undefined) throw new Error(`no row of ${team}`);
+  return row;
+}
+
+describe('collectBurnReport', () => {
+  test('merges the slices of all vms', () => {
+    const row = rowOf('assessors');
+    expect(row).toMatchObject({statements: 301, done: 300, wrongful: 1});
+    expect(row.atReplicas).toBe(90);
+    expect(row.availability).toBeCloseTo(300 / 301, 12);
+  });
+
+  test('takes percentiles of the merged latencies', () => {
+    // 1 to 100 ms, 2 to 200 ms and 5 to 500 ms, 100 values each.
+    const all = [1, 2, 5]
+      .flatMap(step => Array.from({length: 100}, (_, i) => (i + 1) * step))
+      .sort((a, b) => a - b);
+    const row = rowOf('assessors');
+    const isNear = (actual: number | null, expected: number) =>
+      Math.abs((actual ?? NaN) / expected - 1) <= 0.01;
+    expect(isNear(row.p50Ms, all[149]!)).toBe(true);
+    expect(isNear(row.p99Ms, all[296]!)).toBe(true);
+    expect(isNear(row.maxMs, 500)).toBe(true);
+    expect(row.withinLatency).toBeCloseTo(250 / 300, 2);
+  });
+
+  test('keeps refusals over the rate apart from unavailability', () => {
+    const row = rowOf('members');
+    expect(row).toMatchObject({statements: 84, overRate: 30, wrongful: 4});
+    expect(row.availability).toBeCloseTo(48 / 54, 12);
+    expect(rowOf('quiet')).toMatchObject({
+      overRate: 4,
+      availability: null,
+      p50Ms: null,
+      withinLatency: null,
+    });
+    expect(rowOf('quiet').burn.map(({rate}) => rate)).toEqual([
+      null,
+      null,
+      null,
+    ]);
+  });
+
+  test('computes the burn of each window, the shortest first', () => {
+    const {burn} = rowOf('assessors');
+    expect(burn.map(({window}) => window)).toEqual(['5m', '30m', '1h']);
+    expect(burn[0]?.rate).toBe(0);
+    expect(burn[1]?.rate).toBeCloseTo(1_000 / 201, 5);
+    expect(burn[2]?.rate).toBeCloseTo(1_000 / 301, 5);
+    expect(burn[0]?.meaning).toBe('no errors');
+    expect(burn[2]?.meaning).toBe(
+      'over budget: a 30-day budget lasts 9.0 days at this rate',
+    );
+  });
+
+  test('names the vms that did not answer', () => {
+    const {answered, unanswered} = createReport();
+    expect(answered).toEqual(['vm1', 'vm2']);
+    expect(unanswered).toEqual(['vm3']);
+  });
+
+  test('counts a vm with a damaged histogram as one without an answer', () => {
+    const slices = [createSlice(0, [1], {latency: 'bm90IGEgaGlzdG9ncmFt'})];
+    const report = createReport([...VMS, {vm: 'vm4', slices}]);
+    expect(report.unanswered).toEqual(['vm3', 'vm4']);
+    expect(report.rows).toEqual(createReport().rows);
+  });
+
+  test('leaves out slices before the longest window', () => {
+    const report = collectBurnReport({
+      vms: VMS,
+      now: NOW,
+      windows: [{label: '5m', ms: 300_000}],
+      objective: OBJECTIVE,
+    });
+    const row = report.rows.find(({team}) => team === 'assessors');
+    expect(row?.statements).toBe(100);
+  });
+
+  test('plots at most about sixty steps, with gaps where nothing ran', () => {
+    const plot = createReport().plots.find(({team}) => team === 'members');
+    expect(plot?.points.length).toBeGreaterThanOrEqual(45);
+    expect(plot?.points.length).toBeLessThanOrEqual(61);
+    const ran = plot?.points.filter(({burn}) => burn !== null);
+    expect(ran).toHaveLength(1);
+    expect(ran?.[0]?.burn).toBeCloseTo(6_000 / 54, 5);
+  });
+
+  test('finds the highest burn', () => {
+    expect(highestBurn(createReport())).toBeCloseTo(6_000 / 54, 5);
+    expect(highestBurn(createReport([]))).toBeNull();
+  });
+});
