--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,5 +1,6 @@
 /** The operators' commands. */
 import type {CommandModule} from 'yargs';
+import {groupCommand} from './group.js';
 import {keyCommand} from './key.js';
 import {reportCommand} from './report.js';
 import {tableCommand} from './table.js';
@@ -14,6 +15,7 @@
 export const configurationCommands: readonly CommandModule[] = [
   tableCommand,
   keyCommand,
+  groupCommand,
   vmCommand,
   reportCommand,
 ];
