--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -3,6 +3,7 @@
 import {groupCommand} from './group.js';
 import {keyCommand} from './key.js';
 import {reportCommand} from './report.js';
+import {settingsCommand} from './settings.js';
 import {tableCommand} from './table.js';
 import {vmCommand} from './vm.js';
 
@@ -18,4 +19,5 @@
   groupCommand,
   vmCommand,
   reportCommand,
+  settingsCommand,
 ];
--- /dev/null
+++ b/test/docs/library.test.ts
@@ -0,0 +1,73 @@
+import {readFile} from 'node:fs/promises';
+import {describe, expect, test} from 'vitest';
+import {FakeGroup} from '../fakes/fake-group.js';
+import {MemoryStore} from '../fakes/memory-store.js';
+import {VirtualClock} from '../fakes/virtual-clock.js';
+import {createRandom} from '../admission/random.js';
+import {aloneDeps} from './examples/budget-ports.js';
+import {countAdmitted} from './examples/budgets.js';
+import {acknowledge, failOver} from './examples/terms.js';
+import {mayRead, tokenAfterWrite} from './examples/tokens.js';
+
+const PAGE = new URL('../../docs/library.md', import.meta.url);
+
+async function settled<T>(time: VirtualClock, promise: Promise<T>) {
+  let value: T | undefined;
+  void promise.then(result => (value = result));
+  await time.advanceUntil(() => value !== undefined, 5_000);
+  return value;
+}
+
+describe('docs/library.md', () => {
+  test.each(['budget-ports', 'budgets', 'tokens', 'terms'])(
+    'shows the example of %s as it runs here',
+    async name => {
+      const file = new URL(`./examples/${name}.ts`, import.meta.url);
+      const code = await readFile(file, 'utf8');
+      const shown = code.replace('../../../src/index.js', 'zinniaarch');
+      const page = await readFile(PAGE, 'utf8');
+      expect(page).toContain(`\`\`\`ts\n${shown}\`\`\``);
+    },
+  );
+
+  test('admits a burst and no more', async () => {
+    const time = new VirtualClock();
+    const deps = {
+      ...aloneDeps,
+      clock: time,
+      random: createRandom(1),
+      store: new MemoryStore(time),
+    };
+    const admitted = await settled(time, countAdmitted(deps, 50));
+    expect(admitted).toBe(20);
+  });
+
+  test('takes read-your-writes to another proxy', () => {
+    const text = tokenAfterWrite(3, 1_042);
+    expect(mayRead(text, 3, 1_041)).toBe(false);
+    expect(mayRead(text, 3, 1_042)).toBe(true);
+    expect(mayRead(text, 4, 1)).toBe(true);
+    expect(() => mayRead(`${text}x`, 4, 1)).toThrow('was not signed');
+  });
+
+  test('acknowledges a write of the current term only', async () => {
+    const time = new VirtualClock();
+    const group = new FakeGroup(time);
+    const clock = time.forNode();
+    const controls = group.controlsFor('vm1', clock);
+    await time.advance(100);
+    const before = await group.commit('vm1', clock, 'db-1', 'before');
+    const first = acknowledge(clock, controls, 'db-1', before);
+    expect(await settled(time, first)).toEqual({kind: 'done'});
+
+    group.links.cut(['db-1'], ['db-2', 'db-3']);
+    const late = await group.commit('vm1', clock, 'db-1', 'late');
+    const failover = await settled(time, failOver(clock, controls, 'db-1'));
+    expect(failover).toMatchObject({kind: 'promoted', term: 2});
+    const second = acknowledge(clock, controls, 'db-1', late);
+    expect(await settled(time, second)).toMatchObject({
+      kind: 'mayHaveRun',
+      reason: 'termChanged',
+    });
+  });
+});
