--- a/src/telemetry/series-totals.ts
+++ b/src/telemetry/series-totals.ts
@@ -98,10 +98,12 @@
     if (histogram.totalCount === 0) {
       return {p50Ms: null, p99Ms: null, maxMs: null};
     }
+    // Percentiles are the upper ends of buckets, so the maximum is one too.
+    const highestMicros = histogram.highestEquivalentValue(histogram.maxValue);
     return {
       p50Ms: histogram.getValueAtPercentile(50) / MICROS_A_MS,
       p99Ms: histogram.getValueAtPercentile(99) / MICROS_A_MS,
-      maxMs: histogram.maxValue / MICROS_A_MS,
+      maxMs: highestMicros / MICROS_A_MS,
     };
   }
 
--- a/test/telemetry/burn-report.test.ts
+++ b/test/telemetry/burn-report.test.ts
@@ -4,6 +4,9 @@
   highestBurn,
   type BurnRow,
 } from '../../src/telemetry/burn-report.js';
+import {StatementMetrics} from '../../src/telemetry/metrics.js';
+import {DONE} from '../../src/verdict/verdict.js';
+import {ManualClock} from '../admission/manual-clock.js';
 import {createReport, createSlice, NOW, OBJECTIVE, VMS} from './fixture.js';
 
 function rowOf(team: string): BurnRow {
@@ -34,6 +37,24 @@
     expect(row.withinLatency).toBeCloseTo(250 / 300, 2);
   });
 
+  test.each([0.137, 21.1, 39.4, 999])(
+    'reports one latency of %s ms from a node the same way throughout',
+    elapsedMs => {
+      const metrics = new StatementMetrics(new ManualClock(NOW));
+      const series = {team: 'members', group: 'claims', kind: 'read'} as const;
+      const sample = {...series, verdict: DONE, elapsedMs, servedBy: undefined};
+      metrics.observe(sample);
+      const slices = metrics.slices(0);
+      const [row] = createReport([
+        {vm: 'vm1', slices},
+        {vm: 'vm2', slices},
+      ]).rows;
+      expect(row?.p99Ms).toBe(row?.maxMs);
+      expect(row?.p50Ms).toBe(row?.maxMs);
+      expect(Math.abs((row?.maxMs ?? NaN) / elapsedMs - 1)).toBeLessThan(0.011);
+    },
+  );
+
   test('keeps refusals over the rate apart from unavailability', () => {
     const row = rowOf('members');
     expect(row).toMatchObject({statements: 84, overRate: 30, wrongful: 4});
