--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,6 +1,9 @@
-/** The operators' commands on the configuration. */
+/** The operators' commands. */
 import type {CommandModule} from 'yargs';
+import {groupCommand} from './group.js';
 import {keyCommand} from './key.js';
+import {reportCommand} from './report.js';
+import {settingsCommand} from './settings.js';
 import {tableCommand} from './table.js';
 import {vmCommand} from './vm.js';
 
@@ -13,5 +16,8 @@
 export const configurationCommands: readonly CommandModule[] = [
   tableCommand,
   keyCommand,
+  groupCommand,
   vmCommand,
+  reportCommand,
+  settingsCommand,
 ];
