--- a/src/home/database-lane.ts
+++ b/src/home/database-lane.ts
@@ -54,6 +54,8 @@
   /** Connections that this node may hold to the database. */
   readonly connectionShare: () => number;
   readonly weightOf: (team: string) => number;
+  /** Whether the database answered lately. */
+  readonly isReachable: () => boolean;
 }
 
 interface IdleConnection {
@@ -115,6 +117,9 @@
   /** Waits for a slot, or says at once that there will be none in time. */
   async acquire(req: SlotRequest): Promise<SlotResult> {
     if (this.#closed) return this.#unavailable('is no longer in the group');
+    if (!this.#options.isReachable()) {
+      return this.#unavailable('does not answer');
+    }
     if (this.#queue.size === 0 && this.#hasRoom) {
       this.#running++;
       return this.#open();
@@ -185,6 +190,8 @@
       const idleMs = this.#options.clock.now() - since;
       if (idleMs < VALIDATE_AFTER_MS) return connection;
       if (await this.#answers(connection)) return connection;
+      // What made this one silent is likely to have taken the others along.
+      for (const other of this.#idle.splice(0)) other.connection.close();
     }
   }
 
--- a/src/home/group-databases.ts
+++ b/src/home/group-databases.ts
@@ -18,8 +18,10 @@
 /** How long a majority must be out of reach before writes are refused. */
 const HOPELESS_AFTER_MS = 1_500;
 /** How long a database must be silent before its statements are given up. */
-const ABANDON_AFTER_MS = 1_000;
+const ABANDON_AFTER_MS = 800;
 const ABANDON_CHECK_MS = 100;
+/** How long a database must be silent before nothing new is sent to it. */
+const UNREACHABLE_AFTER_MS = 500;
 
 /** A control connection that can be given up. */
 export interface ClosableControl extends DatabaseControl {
@@ -101,6 +103,7 @@
           connect: () => access.connect(database),
           connectionShare: () => options.connectionShare(database),
           weightOf: options.weightOf,
+          isReachable: () => this.#isReachable(database.id),
         }),
       );
     }
@@ -110,6 +113,7 @@
   start(): void {
     this.monitor.start();
     this.agent.start();
+    this.monitor.onChange(view => this.#abandonSuperseded(view));
     void this.#abandonSilent();
     for (const lane of this.#lanes.values()) void lane.warmUp();
   }
@@ -131,6 +135,13 @@
     return this.#lanes.get(databaseId);
   }
 
+  #isReachable(databaseId: string): boolean {
+    const found = this.view().databases.find(
+      ({spec}) => spec.id === databaseId,
+    );
+    return found === undefined || found.unreachableMs < UNREACHABLE_AFTER_MS;
+  }
+
   /** Whether so few databases answer that no failover can succeed now. */
   get isHopeless(): boolean {
     const {databases} = this.view();
@@ -152,6 +163,13 @@
     unsubscribe();
   }
 
+  /** A silent database that leads no longer can't acknowledge anything. */
+  #abandonSuperseded({primaryId, databases}: GroupView): void {
+    for (const {spec, reachable} of databases) {
+      if (spec.id !== primaryId && !reachable) this.runs.abandon(spec.id);
+    }
+  }
+
   /** Gives up the statements on databases that have gone silent. */
   async #abandonSilent(): Promise<void> {
     const {signal} = this.#stopping;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -44,7 +44,7 @@
 import {RenewableBudgets} from './renewable-budgets.js';
 import type {NodeSettings} from './settings.js';
 
-const TARGET_CONNECT_TIMEOUT_MS = 1_000;
+const TARGET_CONNECT_TIMEOUT_MS = 500;
 const CANCEL_METHOD = 'callers.cancel';
 const CANCEL_TIMEOUT_MS = 1_000;
 const DEFAULT_WEIGHT = 1;
--- a/test/home/database-lane.test.ts
+++ b/test/home/database-lane.test.ts
@@ -38,6 +38,7 @@
     },
     connectionShare: () => 12,
     weightOf: () => 1,
+    isReachable: () => true,
   });
   return {lane, connects: () => connects};
 }
