--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -21,10 +21,11 @@
   SyncMessage,
 } from './types.js';
 
-/** How long a statement waits for tokens from the owner. */
-const ASK_TIMEOUT_MS = 25;
-/** The same while the node has no owner yet, which takes store calls. */
-const FIRST_ASK_TIMEOUT_MS = 250;
+/**
+ * How long a statement waits for the owner's answer. Silence does not say that
+ * the team is over its rate; an owner without tokens says so at once.
+ */
+const ASK_TIMEOUT_MS = 250;
 const REPORT_TIMEOUT_MS = 250;
 /** How often a leaving node tries to hand its share back. */
 const MAX_LEAVE_ATTEMPTS = 5;
@@ -215,21 +216,15 @@
   /** Waits for one ask, together with all statements that wait for it. */
   async #replenish(deadlineMs: number): Promise<void> {
     const {clock} = this.#deps;
-    const limitMs = this.#askTimeoutMs();
-    const waitMs = Math.min(limitMs, deadlineMs - clock.now());
+    const waitMs = Math.min(ASK_TIMEOUT_MS, deadlineMs - clock.now());
     if (waitMs <= 0) return;
     this.#waiting += 1;
     const done = new AbortController();
-    const asked = this.#ask(limitMs).finally(() => done.abort());
+    const asked = this.#ask(ASK_TIMEOUT_MS).finally(() => done.abort());
     await Promise.race([asked, clock.sleep(waitMs, done.signal)]);
     this.#waiting -= 1;
   }
 
-  #askTimeoutMs(): number {
-    const isFirst = isNoShare(this.#holder.share) && !this.#ownership.isSettled;
-    return isFirst ? FIRST_ASK_TIMEOUT_MS : ASK_TIMEOUT_MS;
-  }
-
   async #ask(timeoutMs: number): Promise<void> {
     if (this.#owner !== undefined) return this.#owner.recallTokens(1);
     // The message under way may not count this statement.
--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -56,19 +56,28 @@
   }
 
   info(event: string, fields: LogFields = {}): void {
-    this.#consola.info({event, ...this.#fields, ...fields});
+    this.#write('info', event, fields);
   }
 
   warn(event: string, fields: LogFields = {}): void {
-    this.#consola.warn({event, ...this.#fields, ...fields});
+    this.#write('warn', event, fields);
   }
 
   error(event: string, fields: LogFields = {}): void {
-    this.#consola.error({event, ...this.#fields, ...fields});
+    this.#write('error', event, fields);
   }
 
   debug(event: string, fields: LogFields = {}): void {
-    this.#consola.debug({event, ...this.#fields, ...fields});
+    this.#write('debug', event, fields);
+  }
+
+  /** Wrapped: consola takes an object with `message` for one of its own. */
+  #write(
+    level: 'info' | 'warn' | 'error' | 'debug',
+    event: string,
+    fields: LogFields,
+  ): void {
+    this.#consola[level]({args: [{event, ...this.#fields, ...fields}]});
   }
 
   with(fields: LogFields): Logger {
--- /dev/null
+++ b/test/telemetry/log.test.ts
@@ -0,0 +1,24 @@
+import {expect, test} from 'vitest';
+import {createLogger, formatFields} from '../../src/telemetry/log.js';
+
+function capture() {
+  const lines: string[] = [];
+  const log = createLogger('info', {vm: 'vm1'}, line => lines.push(line));
+  return {lines, log};
+}
+
+test('writes one key=value line an event, a message field included', () => {
+  const {lines, log} = capture();
+  log.warn('storeUnreachable', {message: 'no answer in 2 s'});
+  expect(lines).toHaveLength(1);
+  expect(lines[0]).toMatch(
+    /^time=\S+ level=warn event=storeUnreachable vm=vm1 message="no answer in 2 s"\n$/,
+  );
+});
+
+test('quotes values that would break a line into other keys', () => {
+  expect(formatFields({a: 'x=1 y', b: '', c: 2, d: undefined})).toBe(
+    'a="x=1 y" b="" c=2',
+  );
+  expect(formatFields({a: 'two\nlines'})).toBe('a="two\\nlines"');
+});
