--- a/src/admission/owner-link.ts
+++ b/src/admission/owner-link.ts
@@ -1,16 +1,20 @@
 /** A holder's messages to the owner of a budget, one at a time. */
 
+import type {Clock} from '../platform/clock.js';
 import type {Ownership} from './ownership.js';
 import type {SyncSchedule} from './sync-schedule.js';
 import type {SyncContext, SyncPurpose, TeamHolder} from './team-holder.js';
 import type {BudgetPeers, BudgetReply, SyncMessage} from './types.js';
 
-/** How often a message follows a hint to another owner. */
-const MAX_HOPS = 3;
+/** How often a message follows a hint to another owner, or looks again. */
+const MAX_HOPS = 6;
+/** Nodes that take a new budget up agree within a few store calls. */
+const LOOK_AGAIN_MS = 30;
 
 /** What the link is built from. */
 export interface OwnerLinkDeps {
   readonly self: string;
+  readonly clock: Clock;
   readonly peers: BudgetPeers;
   readonly ownership: Ownership;
   readonly holder: TeamHolder;
@@ -50,14 +54,19 @@
   }
 
   async #exchange(purpose: SyncPurpose, timeoutMs: number): Promise<void> {
-    const {becomeOwner, ownership, schedule, self} = this.#deps;
+    const {becomeOwner, clock, ownership, schedule, self} = this.#deps;
     let avoided: string | undefined;
     for (let hop = 0; hop < MAX_HOPS; hop++) {
       const to = await ownership.locate();
-      if (to === undefined || to === avoided) break;
+      if (to === undefined || to === avoided) {
+        avoided = undefined;
+        await clock.sleep(LOOK_AGAIN_MS);
+        await ownership.reloadNow();
+        continue;
+      }
       if (to === self) {
         if (await becomeOwner()) return;
-        if (ownership.owner === undefined) break;
+        avoided = self;
         continue;
       }
       const reply = await this.#call(to, purpose, timeoutMs);
--- a/src/admission/ownership.ts
+++ b/src/admission/ownership.ts
@@ -77,6 +77,11 @@
   async reload(): Promise<void> {
     const {nowMs} = this.#deps.guard;
     if (this.#loading === undefined && nowMs < this.#nextLoadAtMs) return;
+    return this.reloadNow();
+  }
+
+  /** Reads the record, even if it was read a moment ago. */
+  async reloadNow(): Promise<void> {
     this.#loading ??= this.#load().finally(() => {
       this.#loading = undefined;
       this.#nextLoadAtMs = this.#deps.guard.nowMs + RELOAD_PAUSE_MS;
--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -71,6 +71,7 @@
     this.#schedule = new SyncSchedule(clock);
     this.#link = new OwnerLink({
       self,
+      clock,
       peers,
       ownership: this.#ownership,
       holder: this.#holder,
