--- /dev/null
+++ b/test/fleet/fixture.ts
@@ -0,0 +1,197 @@
+/** What the tests of whole deployments share. */
+import pg from 'pg';
+import {RunningLoad} from '../../bench/load.js';
+import {checkPromises} from '../../demo/checks.js';
+import {Fleet, type FleetNode, type FleetOptions} from '../../demo/fleet.js';
+import type {Profile} from '../../demo/profiles.js';
+import type {Failure, LoadRecord} from '../../demo/record.js';
+import {MIXED, type LoadMix} from '../../demo/session-load.js';
+
+/** The one database group of the test fleet. */
+export const GROUP = 'claims';
+/** The team whose load runs through a test. */
+export const TEAM = 'assessors';
+/** A team that no test interferes with. */
+export const OTHER_TEAM = 'letters';
+
+const NODES = 3;
+const SESSIONS = 9;
+const PACE_MS = 20;
+const POLL_MS = 20;
+const NO_BOUND = 100_000;
+
+const PROFILE: Profile = {
+  name: 'fleet-test',
+  dataCentres: ['hobart', 'launceston', 'devonport'],
+  groups: [GROUP],
+  slots: 2,
+  maxConnections: 16,
+  connectCostMs: 12,
+  teams: [TEAM, OTHER_TEAM].map(name => ({
+    name,
+    sessions: SESSIONS,
+    rate: NO_BOUND,
+    burst: NO_BOUND,
+  })),
+};
+
+/** Starts three nodes, one group and a store, with rates out of the way. */
+export function startFleet(
+  options: Partial<FleetOptions> = {},
+): Promise<Fleet> {
+  return Fleet.start({profile: PROFILE, nodes: NODES, ...options});
+}
+
+/** Starts sessions that write, read back and roam over all nodes. */
+export function startLoad(
+  fleet: Fleet,
+  seed: number,
+  {team = TEAM, mix = MIXED}: {team?: string; mix?: LoadMix} = {},
+): RunningLoad {
+  return new RunningLoad({
+    fleet,
+    group: GROUP,
+    team,
+    sessions: [{mix, count: SESSIONS}],
+    paceMs: PACE_MS,
+    seed,
+  });
+}
+
+/** Waits until `check` gives a value; throws once the time is up. */
+export async function waitUntil<Value>(
+  what: string,
+  timeoutMs: number,
+  check: () => Promise<Value | undefined> | Value | undefined,
+): Promise<Value> {
+  const until = performance.now() + timeoutMs;
+  while (performance.now() < until) {
+    const value = await check();
+    if (value !== undefined) return value;
+    await sleep(POLL_MS);
+  }
+  throw new Error(`not within ${timeoutMs} ms: ${what}`);
+}
+
+/** Waits until the load has completed `count` more statements. */
+export async function waitForProgress(
+  {record}: RunningLoad,
+  count: number,
+  timeoutMs: number,
+): Promise<void> {
+  const from = record.completions.length;
+  await waitUntil(`${count} more statements`, timeoutMs, () =>
+    record.completions.length >= from + count ? true : undefined,
+  );
+}
+
+/** The promises that were broken, with what broke them. */
+export async function findBroken(
+  fleet: Fleet,
+  record: LoadRecord,
+): Promise<readonly string[]> {
+  const checks = await checkPromises(fleet, record);
+  return checks.flatMap(({promise, violations}) =>
+    violations.map(violation => `${promise}: ${violation}`),
+  );
+}
+
+/** Requests whose connection ended without an answer of the proxy. */
+export function findCutRequests(record: LoadRecord): readonly Failure[] {
+  return record.failures.filter(({sqlstate}) => !isSqlstate(sqlstate));
+}
+
+/** Counts failures by SQLSTATE and message, for the reports of a test. */
+export function countFailures(
+  failures: readonly Failure[],
+): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const {sqlstate, message} of failures) {
+    const key = `${sqlstate} ${message}`;
+    counts[key] = (counts[key] ?? 0) + 1;
+  }
+  return counts;
+}
+
+/** Whether a client's error code is the proxy's and not the socket's. */
+export function isSqlstate(code: string | undefined): boolean {
+  // EPIPE, of the socket, has the length of a SQLSTATE.
+  return /^[0-9A-Z]{5}$/.test(code ?? '') && code !== 'EPIPE';
+}
+
+/** An error as the stock client reports it. */
+export interface ClientError {
+  readonly code?: string;
+  readonly detail?: string;
+  readonly message: string;
+}
+
+/** Connects the stock client of a team to one node. */
+export async function connect(
+  fleet: Fleet,
+  node: FleetNode,
+  team: string = TEAM,
+  onError: (err: ClientError) => void = () => {},
+): Promise<pg.Client> {
+  const client = new pg.Client({
+    host: '127.0.0.1',
+    port: node.port,
+    user: team,
+    password: fleet.keys.get(team),
+    database: GROUP,
+  });
+  client.on('error', onError);
+  await client.connect();
+  return client;
+}
+
+/** Inserts one row. */
+export async function insert(
+  client: pg.Client,
+  id: string,
+  team: string = TEAM,
+): Promise<void> {
+  const sql = 'INSERT INTO entries (id, team, value) VALUES ($1, $2, $3)';
+  await client.query(sql, [id, team, '1']);
+}
+
+/** The ids of all entries at the group's primary. */
+export async function readEntryIds(fleet: Fleet): Promise<readonly string[]> {
+  const primary = await fleet.findPrimary(GROUP);
+  if (primary === undefined) throw new Error('the group has no primary');
+  const rows = await fleet.readDatabase<readonly {readonly id: string}[]>(
+    primary,
+    'rows?table=entries',
+  );
+  return rows.map(({id}) => id);
+}
+
+/** The node that is the group's home, as `asked` sees it. */
+export async function findHome(
+  fleet: Fleet,
+  asked: FleetNode,
+): Promise<FleetNode> {
+  const {homes} = await fleet.readNode<{
+    readonly homes: Readonly<Record<string, string | null>>;
+  }>(asked, 'groups');
+  const home = fleet.nodes.find(({vm}) => vm === homes[GROUP]);
+  if (home === undefined) throw new Error('the group has no home');
+  return home;
+}
+
+/** The configuration version that a node has in force. */
+export async function readVersion(
+  fleet: Fleet,
+  node: FleetNode,
+): Promise<number> {
+  const {config} = await fleet.readNode<{readonly config: number}>(
+    node,
+    'versions',
+  );
+  return config;
+}
+
+/** Resolves after some milliseconds. */
+export function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
