--- /dev/null
+++ b/test/fleet/keys.test.ts
@@ -0,0 +1,132 @@
+import type pg from 'pg';
+import {afterEach, expect, test} from 'vitest';
+import type {Fleet} from '../../demo/fleet.js';
+import {
+  GROUP,
+  OTHER_TEAM,
+  TEAM,
+  connect,
+  countFailures,
+  findBroken,
+  sleep,
+  startFleet,
+  startLoad,
+  waitForProgress,
+  type ClientError,
+} from './fixture.js';
+
+const SEED = 44;
+const STATEMENTS = 100;
+const PROGRESS_TIMEOUT_MS = 12_000;
+/** The stated bound for a withdrawal to be in force on every node. */
+const WITHDRAWAL_BOUND_MS = 4_000;
+/** How long a session is used on before the test gives it up. */
+const GIVE_UP_MS = 8_000;
+const STATEMENT_EVERY_MS = 20;
+const WRONG_KEY = '28P01';
+const KEY_ID = /^zk_([0-9a-f]{16})_/;
+
+/** How and when a session ended; no code if it never did. */
+interface SessionEnd {
+  readonly vm: string;
+  readonly code?: string;
+  readonly afterMs: number;
+}
+
+let fleet: Fleet | undefined;
+
+afterEach(async () => {
+  await fleet?.stop();
+  fleet = undefined;
+});
+
+test('a withdrawn key ends its busy and idle sessions on every node within 4 s and no other team notices', async () => {
+  const running = (fleet = await startFleet());
+  const load = startLoad(running, SEED, {team: OTHER_TEAM});
+  await waitForProgress(load, STATEMENTS, PROGRESS_TIMEOUT_MS);
+  const busy = await openSessions(running);
+  const idle = await openSessions(running);
+  const keyId = KEY_ID.exec(running.keys.get(TEAM) ?? '')?.[1] ?? '';
+
+  const result = await running.editor.edit(
+    {kind: 'withdrawKey', keyId},
+    {id: 'withdraw-of-the-test', by: 'test'},
+  );
+  const withdrawnAt = performance.now();
+  expect(result.kind).toBe('applied');
+  const ends = await Promise.all(
+    busy.map(session => useUntilEnd(session, withdrawnAt)),
+  );
+  await sleep(WITHDRAWAL_BOUND_MS - (performance.now() - withdrawnAt));
+  const idleEnds = await Promise.all(
+    idle.map(async ({vm, client, fatal}) => {
+      const err = fatal() ?? (await failureOf(client));
+      return {vm, code: err?.code};
+    }),
+  );
+  const newcomers = await Promise.all(
+    running.nodes.map(node =>
+      connect(running, node).then(
+        async client => {
+          await client.end();
+          return 'admitted';
+        },
+        (err: ClientError) => err.code,
+      ),
+    ),
+  );
+  await waitForProgress(load, STATEMENTS, PROGRESS_TIMEOUT_MS);
+  const record = await load.stop();
+
+  for (const end of ends) {
+    expect.soft(end).toMatchObject({code: WRONG_KEY});
+    expect.soft(end.afterMs).toBeLessThan(WITHDRAWAL_BOUND_MS);
+  }
+  const codes = running.nodes.map(() => WRONG_KEY);
+  expect.soft(idleEnds.map(({code}) => code)).toEqual(codes);
+  expect.soft(newcomers).toEqual(codes);
+  expect.soft(countFailures(record.failures)).toEqual({});
+  expect(await findBroken(running, record)).toEqual([]);
+});
+
+/** A session and the error with which its connection was ended. */
+interface OpenSession {
+  readonly vm: string;
+  readonly client: pg.Client;
+  readonly fatal: () => ClientError | undefined;
+}
+
+/** One session of the team on each node, each proved to work. */
+function openSessions(on: Fleet): Promise<readonly OpenSession[]> {
+  return Promise.all(
+    on.nodes.map(async node => {
+      let first: ClientError | undefined;
+      const client = await connect(on, node, TEAM, err => (first ??= err));
+      const err = await failureOf(client);
+      if (err !== undefined) throw new Error(`${GROUP}: ${err.message}`);
+      return {vm: node.vm, client, fatal: () => first};
+    }),
+  );
+}
+
+async function useUntilEnd(
+  {vm, client, fatal}: OpenSession,
+  since: number,
+): Promise<SessionEnd> {
+  while (performance.now() - since < GIVE_UP_MS) {
+    const err = fatal() ?? (await failureOf(client));
+    const afterMs = performance.now() - since;
+    if (err !== undefined) return {vm, code: (fatal() ?? err).code, afterMs};
+    await sleep(STATEMENT_EVERY_MS);
+  }
+  await client.end().catch(() => {});
+  return {vm, afterMs: GIVE_UP_MS};
+}
+
+/** The error of one read, if it fails. */
+function failureOf(client: pg.Client): Promise<ClientError | undefined> {
+  return client.query('SELECT id FROM counters WHERE id = $1', ['none']).then(
+    () => undefined,
+    (err: ClientError) => err,
+  );
+}
