--- /dev/null
+++ b/test/fleet/rates.test.ts
@@ -0,0 +1,117 @@
+import {afterEach, expect, test} from 'vitest';
+import type {Fleet} from '../../demo/fleet.js';
+import {
+  OTHER_TEAM,
+  TEAM,
+  connect,
+  sleep,
+  startFleet,
+  type ClientError,
+} from './fixture.js';
+
+const RATE = 120;
+const BURST = 60;
+const CALM_RATE = 200;
+const CALM_BURST = 100;
+const LOAD_MS = 6_000;
+/** Connections of each team to each node. */
+const CONNECTIONS = 4;
+/** 3 nodes, 4 connections and one request in 20 ms: 600 a second. */
+const LOUD_EVERY_MS = 20;
+/** 3 nodes, 4 connections and one request in 200 ms: 60 a second. */
+const CALM_EVERY_MS = 200;
+/** The stated target: a team's share of what it is entitled to. */
+const LEAST_SHARE = 0.95;
+const LEAST_EXCESS = 4;
+const RATE_LIMITED = '53400';
+const MS_PER_SECOND = 1_000;
+
+/** One request as its client saw it. */
+interface Request {
+  readonly sentAt: number;
+  readonly doneAt: number;
+  readonly err?: ClientError;
+}
+
+let fleet: Fleet | undefined;
+
+afterEach(async () => {
+  await fleet?.stop();
+  fleet = undefined;
+});
+
+test('a team at 5 times its rate over 3 nodes gets its rate and no more, and another keeps its own', async () => {
+  fleet = await startFleet({
+    teams: [
+      {name: TEAM, rate: RATE, burst: BURST},
+      {name: OTHER_TEAM, rate: CALM_RATE, burst: CALM_BURST},
+    ],
+  });
+  const [loud, calm] = await Promise.all([
+    sendAll(fleet, TEAM, LOUD_EVERY_MS),
+    sendAll(fleet, OTHER_TEAM, CALM_EVERY_MS),
+  ]);
+  const served = loud.filter(({err}) => err === undefined);
+  const refused = loud.flatMap(({err}) => err ?? []);
+  const seconds = LOAD_MS / MS_PER_SECOND;
+
+  // The load was what the title says.
+  expect(loud.length).toBeGreaterThan(LEAST_EXCESS * RATE * seconds);
+  expect.soft(findExcess(served)).toEqual([]);
+  expect
+    .soft(served.length)
+    .toBeGreaterThanOrEqual(LEAST_SHARE * RATE * seconds);
+  for (const {code, detail} of refused) {
+    expect(code).toBe(RATE_LIMITED);
+    expect(detail).toMatch(/\bretry_after_ms=\d+\b/);
+  }
+  expect(calm.flatMap(({err}) => err ?? [])).toEqual([]);
+});
+
+/** Sends at fixed times over all nodes; a late answer delays the next. */
+async function sendAll(
+  on: Fleet,
+  team: string,
+  everyMs: number,
+): Promise<readonly Request[]> {
+  const places = on.nodes.flatMap(node =>
+    Array.from({length: CONNECTIONS}, () => node),
+  );
+  const clients = await Promise.all(
+    places.map(node => connect(on, node, team)),
+  );
+  const startedAt = performance.now();
+  const requests: Request[] = [];
+  await Promise.all(
+    clients.map(async (client, index) => {
+      const offsetMs = (everyMs * index) / clients.length;
+      for (let at = offsetMs; at < LOAD_MS; at += everyMs) {
+        await sleep(startedAt + at - performance.now());
+        const sentAt = performance.now();
+        const err = await client.query('SELECT id FROM counters').then(
+          () => undefined,
+          (failure: ClientError) => failure,
+        );
+        const doneAt = performance.now();
+        requests.push({sentAt, doneAt, ...(err && {err})});
+      }
+      await client.end();
+    }),
+  );
+  return requests;
+}
+
+/** Windows with more requests wholly inside than rate and burst allow. */
+function findExcess(served: readonly Request[]): readonly string[] {
+  const byEnd = [...served].sort((a, b) => a.doneAt - b.doneAt);
+  return served.flatMap(({sentAt: from}) => {
+    const inside = byEnd.filter(({sentAt}) => sentAt >= from);
+    const found = inside.findIndex(({doneAt}, index) => {
+      const allowed = (RATE * (doneAt - from)) / MS_PER_SECOND + BURST;
+      return index + 1 > allowed;
+    });
+    if (found === -1) return [];
+    const ms = (inside[found]?.doneAt ?? from) - from;
+    return [`${found + 1} requests within ${ms.toFixed(1)} ms`];
+  });
+}
