--- /dev/null
+++ b/test/fleet/store-outage.test.ts
@@ -0,0 +1,159 @@
+import {afterEach, expect, test} from 'vitest';
+import type {Fleet} from '../../demo/fleet.js';
+import type {TeamRow} from '../../src/rollout/table.js';
+import {
+  OTHER_TEAM,
+  TEAM,
+  countFailures,
+  findBroken,
+  readVersion,
+  sleep,
+  startFleet,
+  startLoad,
+  waitForProgress,
+  waitUntil,
+} from './fixture.js';
+
+const SEED = 45;
+const STATEMENTS = 200;
+const PROGRESS_TIMEOUT_MS = 12_000;
+const OUTAGE_MS = 8_000;
+/** The stated bound for an edit to be in force on every node. */
+const PROPAGATION_MS = 4_000;
+/** More than the edit needs, since the nodes write to the store as well. */
+const LOST_ANSWERS = 5;
+/** Statements must end within each of these parts of the outage. */
+const SERVICE_STEP_MS = 1_000;
+const CANNOT_CONNECT_NOW = '57P03';
+
+let fleet: Fleet | undefined;
+
+afterEach(async () => {
+  await fleet?.stop();
+  fleet = undefined;
+});
+
+test('service goes on through a store outage of 8 s', async () => {
+  fleet = await startFleet();
+  const load = startLoad(fleet, SEED);
+  await waitForProgress(load, STATEMENTS, PROGRESS_TIMEOUT_MS);
+  const startedAt = performance.now();
+  await fleet.storeSwitch('outage', {on: true});
+  await sleep(OUTAGE_MS);
+  const standings = await Promise.all(
+    fleet.nodes.map(node =>
+      fleet!.readNode<{readonly standing: string}>(node, 'versions'),
+    ),
+  );
+  const endedAt = performance.now();
+  await fleet.storeSwitch('outage', {on: false});
+  await waitForProgress(load, STATEMENTS, PROGRESS_TIMEOUT_MS);
+  const record = await load.stop();
+
+  // The outage was one: no node had heard of the store lately.
+  expect(standings.map(({standing}) => standing)).toEqual(
+    fleet.nodes.map(() => 'outage'),
+  );
+  for (let from = startedAt; from < endedAt; from += SERVICE_STEP_MS) {
+    const until = from + SERVICE_STEP_MS;
+    const done = record.completions.filter(
+      ({at}) => at >= from && at < until,
+    ).length;
+    expect.soft(done, 'statements in a second').toBeGreaterThan(0);
+  }
+  const refusals = record.failures.filter(
+    ({sqlstate}) => sqlstate === CANNOT_CONNECT_NOW,
+  );
+  expect.soft(countFailures(refusals)).toEqual({});
+  expect(await findBroken(fleet, record)).toEqual([]);
+});
+
+test('a node that restarts in a store outage comes back with the same version', async () => {
+  const running = (fleet = await startFleet());
+  const row = createRow(OTHER_TEAM, 700);
+  const result = await putRow(running, row, 'before-the-outage');
+  const version = versionOf(result);
+  await waitForVersion(running, version);
+
+  await running.storeSwitch('outage', {on: true});
+  const node = running.nodes[1]!;
+  node.process.signal('SIGKILL');
+  await node.process.exited();
+  await running.restartNode(node);
+  const seen = new Set<number>();
+  await waitUntil('the version of before', PROPAGATION_MS, async () => {
+    const found = await readVersion(running, node);
+    seen.add(found);
+    return found >= version ? found : undefined;
+  });
+  expect([...seen]).toEqual([version]);
+  await running.storeSwitch('outage', {on: false});
+});
+
+test('an edit whose answers were lost is settled, lands once and is in force on all nodes', async () => {
+  const running = (fleet = await startFleet());
+  const before = await readVersion(running, running.nodes[0]!);
+  await running.storeSwitch('lostAnswers', {count: LOST_ANSWERS});
+  const row = createRow(TEAM, 600);
+  const result = await putRow(running, row, 'with-a-lost-answer');
+  expect(result).toEqual({
+    kind: 'applied',
+    version: before + 1,
+    repeated: true,
+  });
+  await waitForVersion(running, before + 1);
+});
+
+test('racing operators both land on different rows and conflict on one row', async () => {
+  const running = (fleet = await startFleet());
+  const before = await readVersion(running, running.nodes[0]!);
+  const apart = await Promise.all([
+    putRow(running, createRow(TEAM, 500), 'ana-1', before),
+    putRow(running, createRow(OTHER_TEAM, 500), 'ben-1', before),
+  ]);
+  expect(apart.map(({kind}) => kind)).toEqual(['applied', 'applied']);
+  await waitForVersion(running, before + 2);
+
+  const same = await Promise.all([
+    putRow(running, createRow(TEAM, 400), 'ana-2', before + 2),
+    putRow(running, createRow(TEAM, 300), 'ben-2', before + 2),
+  ]);
+  expect(same.map(({kind}) => kind).sort()).toEqual(['applied', 'conflict']);
+  await waitForVersion(running, before + 3);
+});
+
+type Result = Awaited<ReturnType<Fleet['editor']['edit']>>;
+
+function createRow(name: string, rate: number): TeamRow {
+  return {kind: 'team', name, rate, burst: 100, priority: 'urgent'};
+}
+
+function putRow(
+  {editor}: Fleet,
+  row: TeamRow,
+  id: string,
+  baseVersion?: number,
+): Promise<Result> {
+  const edits = [{kind: 'put', row}] as const;
+  const base = baseVersion === undefined ? {} : {baseVersion};
+  return editor.edit({kind: 'rows', edits, ...base}, {id, by: id});
+}
+
+function versionOf(result: Result): number {
+  if (result.kind !== 'applied') throw new Error(`the edit is ${result.kind}`);
+  return result.version;
+}
+
+/** Waits until exactly this version is in force on all nodes. */
+function waitForVersion(on: Fleet, version: number): Promise<true> {
+  return waitUntil(
+    `version ${version} on all nodes`,
+    PROPAGATION_MS,
+    async () => {
+      const found = await Promise.all(
+        on.nodes.map(node => readVersion(on, node)),
+      );
+      return found.every(one => one === version) ? true : undefined;
+    },
+  );
+}
