--- a/demo/session-load.ts
+++ b/demo/session-load.ts
@@ -205,11 +205,13 @@
       return res;
     } catch (err) {
       const {code = '', message} = err as Error & {code?: string};
-      if (code === '') record.cutRequests++;
-      const outcome = code === '' ? 'unknown' : outcomeOf(code);
+      // Anything but a SQLSTATE means that the connection ended unanswered.
+      const isCut = !/^[0-9A-Z]{5}$/.test(code);
+      if (isCut) record.cutRequests++;
+      const outcome = isCut ? 'unknown' : outcomeOf(code);
       const at = performance.now();
       record.failures.push({at, team, outcome, sqlstate: code, message});
-      if (code === '') this.#client = undefined;
+      if (isCut) this.#client = undefined;
       return undefined;
     }
   }
--- a/src/admission/budget-service.ts
+++ b/src/admission/budget-service.ts
@@ -32,6 +32,7 @@
   readonly #teams = new Map<string, TeamBudget>();
   readonly #watch: RetirementWatch;
   #running: AbortController | undefined;
+  readonly #prepared = new Set<string>();
   #isLeaving = false;
   #seq = 0;
 
@@ -74,6 +75,21 @@
     return this.#budgetOf(team).admit(deadlineMs);
   }
 
+  /**
+   * Sees to it that the budgets of these teams have an owner before the store
+   * may fail. Meant for the teams whose first choice is this node.
+   */
+  async prepare(teams: readonly string[]): Promise<void> {
+    const fresh = teams.filter(team => !this.#prepared.has(team));
+    await Promise.all(fresh.map(team => this.#prepareOne(team)));
+  }
+
+  async #prepareOne(team: string): Promise<void> {
+    this.#prepared.add(team);
+    const isOwned = await this.#budgetOf(team).prepare();
+    if (!isOwned) this.#prepared.delete(team);
+  }
+
   /** Serves the peer method `budget`. */
   async handle(message: BudgetMessage, _from: string): Promise<BudgetReply> {
     if (this.#isLeaving && message.kind === 'sync') return {kind: 'busy'};
--- a/src/admission/owner-link.ts
+++ b/src/admission/owner-link.ts
@@ -66,12 +66,15 @@
       }
       if (to === self) {
         if (await becomeOwner()) return;
+        ownership.avoid(self);
         avoided = self;
         continue;
       }
       const reply = await this.#call(to, purpose, timeoutMs);
       if (reply?.kind === 'busy') ownership.avoid(to);
       if (reply?.kind !== 'notOwner') return;
+      // Without the store, another node may still know the owner.
+      if (reply.owner === undefined) ownership.avoid(to);
       avoided = to;
     }
     schedule.failed();
--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -161,6 +161,15 @@
       await this.#link.sync(purpose, REPORT_TIMEOUT_MS);
   }
 
+  /**
+   * Takes the ownership if it is vacant; whether the budget has an owner now.
+   */
+  async prepare(): Promise<boolean> {
+    if (this.#ownership.isSettled) return true;
+    await this.#becomeOwner();
+    return this.#ownership.isSettled;
+  }
+
   /** Hands everything back, and the ownership on. */
   async leave(): Promise<void> {
     const owner = this.#owner;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -2,6 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {readFileSync} from 'node:fs';
 import {createSecureContext, type SecureContext} from 'node:tls';
+import {budgetKey} from '../admission/budget-record.js';
 import type {BudgetDeps, BudgetMessage} from '../admission/types.js';
 import {CallerServer} from '../callers/caller-server.js';
 import {vmHash, vmHashOf} from '../callers/cancel-keys.js';
@@ -51,6 +52,8 @@
 /** How long a starting node waits for its first configuration. */
 const CONFIG_WAIT_MS = 5_000;
 const CONFIG_POLL_MS = 20;
+/** How long a starting node may take up budgets before it serves callers. */
+const PREPARE_WAIT_MS = 500;
 /** How long the store may say nothing before the seeds are asked. */
 const SEED_AFTER_MS = 1_000;
 
@@ -115,6 +118,7 @@
     this.#budgets.start();
     this.#homes.start();
     await this.#waitForConfig();
+    await this.#prepareBudgets();
     await this.#callers.listen();
     await this.#admin.listen(host, adminPort);
     const ports = {callers: this.#callers.port, admin: this.#admin.port};
@@ -171,6 +175,12 @@
       this.#log.warn('configMissing', {waitedMs: CONFIG_WAIT_MS});
   }
 
+  /** Within limits: without the store there is nothing to take up. */
+  async #prepareBudgets(): Promise<void> {
+    const late = this.#clock.sleep(PREPARE_WAIT_MS);
+    await Promise.race([this.#budgets.prepare(), late]);
+  }
+
   /** The store says nothing: learn from the peers that the settings name. */
   #introduceSeeds(): void {
     const {seeds, vm} = this.#settings;
@@ -245,7 +255,14 @@
       },
       options: {standingLimitMs: this.#settings.standingLimitMs},
     };
-    return new RenewableBudgets({deps, log: this.#log});
+    return new RenewableBudgets({
+      deps,
+      log: this.#log,
+      ownTeams: () =>
+        [...this.#config.document.table.teams.keys()].filter(
+          team => members.homeOrder(budgetKey(team))[0]?.id === vm,
+        ),
+    });
   }
 
   #createHomes(): HomeService {
--- a/src/node/renewable-budgets.ts
+++ b/src/node/renewable-budgets.ts
@@ -14,8 +14,12 @@
 export interface RenewableBudgetsOptions {
   readonly deps: BudgetDeps;
   readonly log: Logger;
+  /** The teams of the table in force for which this node is first choice. */
+  readonly ownTeams: () => readonly string[];
 }
 
+const PREPARE_PERIOD_MS = 500;
+
 /**
  * An instance that was retired may never spend again, even if the process was
  * only cut off for a while. The process then goes on under a new instance,
@@ -58,6 +62,7 @@
   start(): void {
     this.#running = true;
     this.#service.start();
+    void this.#prepareRegularly();
   }
 
   /** Hands all shares back. */
@@ -66,6 +71,20 @@
     await this.#service.stop();
   }
 
+  /** Takes up the budgets that this node should own, if they are vacant. */
+  prepare(): Promise<void> {
+    return this.#service.prepare(this.#options.ownTeams());
+  }
+
+  /** The table and the list of VMs change, so this is repeated. */
+  async #prepareRegularly(): Promise<void> {
+    const {clock} = this.#options.deps;
+    while (this.#running) {
+      await clock.sleep(PREPARE_PERIOD_MS);
+      if (this.#running) await this.prepare();
+    }
+  }
+
   admit(team: string, deadlineMs: number): Promise<Admission> {
     return this.#service.admit(team, deadlineMs);
   }
