--- a/src/admission/sync-schedule.ts
+++ b/src/admission/sync-schedule.ts
@@ -51,6 +51,11 @@
     return Math.max(0, dueAtMs - this.#clock.now());
   }
 
+  /** Whether the owner answered the last message. */
+  get isAnswered(): boolean {
+    return this.#failures === 0 && this.#tokenDueAtMs !== -Infinity;
+  }
+
   sent(demand: number): void {
     this.#sentAtMs = this.#clock.now();
     this.#sentDemand = demand;
--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -203,14 +203,15 @@
 
   #refusal(): Admission {
     if (!this.#deps.guard.maySpend()) {
-      return {kind: 'refused', retryAfterMs: NO_STANDING_RETRY_MS};
+      return refusal('unavailable', NO_STANDING_RETRY_MS);
     }
     if (this.#limits().burst < 1) {
-      return {kind: 'refused', retryAfterMs: MAX_RETRY_MS};
+      return refusal('overRate', MAX_RETRY_MS);
     }
     const dueMs = this.#msUntilToken();
     const boundedMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, dueMs));
-    return {kind: 'refused', retryAfterMs: Math.ceil(boundedMs)};
+    const isKnown = this.#owner !== undefined || this.#schedule.isAnswered;
+    return refusal(isKnown ? 'overRate' : 'unavailable', Math.ceil(boundedMs));
   }
 
   #msUntilToken(): number {
@@ -319,3 +320,10 @@
     };
   }
 }
+
+function refusal(
+  reason: (Admission & {kind: 'refused'})['reason'],
+  retryAfterMs: number,
+): Admission {
+  return {kind: 'refused', reason, retryAfterMs};
+}
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -155,7 +155,12 @@
 /** Whether a statement may run. */
 export type Admission =
   | {readonly kind: 'admitted'}
-  | {readonly kind: 'refused'; readonly retryAfterMs: number};
+  | {
+      readonly kind: 'refused';
+      /** `unavailable`: not known to be over the rate; nobody could say. */
+      readonly reason: 'overRate' | 'unavailable';
+      readonly retryAfterMs: number;
+    };
 
 /** What an operator sees of one budget at this node. */
 export interface BudgetStatus {
--- a/src/callers/statement-runner.ts
+++ b/src/callers/statement-runner.ts
@@ -1,5 +1,6 @@
 /** Runs one batch for a session: class, admission, execution, answer. */
 import {randomUUID} from 'node:crypto';
+import type {Admission} from '../admission/types.js';
 import {failedResult, type ExecResult} from '../home/types.js';
 import type {Classification, Statement} from '../routing/statement.js';
 import type {Position} from '../session/position.js';
@@ -137,11 +138,7 @@
         deadlineAt,
       );
       if (admission.kind === 'refused') {
-        return notRun(
-          'rateLimited',
-          `team ${this.#authority.team} is over its rate`,
-          admission.retryAfterMs,
-        );
+        return budgetRefusal(this.#authority.team, admission);
       }
     }
     return undefined;
@@ -154,6 +151,8 @@
 
   #commits({statements}: Classification): boolean {
     if (this.#transaction === 'idle') return true;
+    // A batch may execute a portal that an earlier one has bound.
+    if (statements.length === 0) return true;
     return statements.some(({kind}) => kind === 'commit');
   }
 
@@ -174,6 +173,17 @@
   }
 }
 
+function budgetRefusal(
+  team: string,
+  {reason, retryAfterMs}: Admission & {kind: 'refused'},
+): NotRun {
+  if (reason === 'overRate') {
+    return notRun('rateLimited', `team ${team} is over its rate`, retryAfterMs);
+  }
+  const message = `the budget of team ${team} can't be reached`;
+  return notRun('budgetUnavailable', message, retryAfterMs);
+}
+
 function admissionCost(
   req: RunRequest,
   transaction: TransactionStatus,
--- a/src/home/read-loop.ts
+++ b/src/home/read-loop.ts
@@ -17,7 +17,7 @@
 /** The least time in which a read can still succeed. */
 const MIN_ATTEMPT_MS = 5;
 /**
- * The part of the time left that a first try may take. A connection can go
+ * The part of the time left that a first try may run. A connection can go
  * silent without a sign; what is left then is for another database.
  */
 const FIRST_ATTEMPT_SHARE = 0.4;
@@ -48,9 +48,7 @@
     const avoid = new Set<string>();
     retries.deposit();
     for (let share = FIRST_ATTEMPT_SHARE; ; share = 1) {
-      const now = databases.clock.now();
-      const attemptEnd = now + (deadlineAt - now) * share;
-      const attempt = {req, sink, deadlineAt: attemptEnd, avoid};
+      const attempt = {req, sink, deadlineAt, runShare: share, avoid};
       const outcome = await path.attempt(attempt);
       if (outcome.result.verdict.kind === 'done') return outcome.result;
       if (outcome.forwarded) return failedResult(brokenOff());
--- a/src/home/read-path.ts
+++ b/src/home/read-path.ts
@@ -27,6 +27,8 @@
   readonly req: ExecRequest;
   readonly sink: PartSink;
   readonly deadlineAt: number;
+  /** The part of the time left, once it has a slot, that it may run. */
+  readonly runShare: number;
   /** Databases that failed this read before. */
   readonly avoid: ReadonlySet<string>;
 }
@@ -107,6 +109,7 @@
       role === 'primary'
         ? this.#confirmTerm(databaseId, deadlineAt)
         : undefined;
+    const now = databases.clock.now();
     try {
       const end = await databases.runs.run({
         sessionId: req.sessionId,
@@ -114,7 +117,7 @@
         connection: slot.connection,
         frames: req.frames,
         observer: answer,
-        deadlineAt,
+        deadlineAt: now + (deadlineAt - now) * attempt.runShare,
       });
       if (answer.stale) {
         return {...failed(staleVerdict(databaseId), databaseId), sent: true};
--- a/src/home/transactions.ts
+++ b/src/home/transactions.ts
@@ -67,7 +67,7 @@
   /** Rolls a transaction back and gives its connection back. */
   release(pin: string): void {
     const kept = this.take(pin);
-    if (kept !== undefined) void rollBack(this.#clock, kept.slot);
+    if (kept !== undefined) rollBack(this.#clock, kept.slot);
   }
 
   async #sweep(): Promise<void> {
@@ -85,7 +85,12 @@
 const ROLLBACK_TIMEOUT_MS = 1_000;
 const IGNORE_ANSWER = {onFrames: () => {}};
 
-async function rollBack(clock: Clock, slot: Slot): Promise<void> {
+/** Rolls back what is open on a slot, then gives the slot back. */
+export function rollBack(clock: Clock, slot: Slot): void {
+  void endTransaction(clock, slot);
+}
+
+async function endTransaction(clock: Clock, slot: Slot): Promise<void> {
   const cancel = startTimer(clock, ROLLBACK_TIMEOUT_MS, () =>
     slot.connection.close(),
   );
--- a/src/home/write-path.ts
+++ b/src/home/write-path.ts
@@ -12,7 +12,7 @@
 import {WriteAnswer} from './answers.js';
 import type {Slot} from './database-lane.js';
 import type {GroupDatabases} from './group-databases.js';
-import type {Transactions} from './transactions.js';
+import {rollBack, type Transactions} from './transactions.js';
 import type {WriteGate} from './write-gate.js';
 import {
   failedResult,
@@ -25,6 +25,8 @@
 const PRIMARY_POLL_MS = 50;
 /** When to come back while no majority of the databases answers. */
 const HOPELESS_RETRY_MS = 2_000;
+/** When to come back while open transactions hold the connections. */
+const TRANSACTION_RETRY_MS = 50;
 /** The least time in which a write can still succeed. */
 const MIN_ATTEMPT_MS = 5;
 
@@ -152,6 +154,10 @@
         databases.reads.notePosition(databaseId, end.position, sentAt);
       }
       const ran = {slot, databaseId, answer, end};
+      if (isOnlyOpened(answer.startPosition, end) && !lane.mayPin) {
+        rollBack(databases.clock, slot);
+        return failedResult(tooManyTransactions(databaseId));
+      }
       return await this.#conclude(attempt, ran, undefined);
     } catch (err) {
       slot.release();
@@ -244,6 +250,21 @@
   return committed || (end.transaction === 'idle' && !end.failed);
 }
 
+/** Whether the batch opened a transaction and committed nothing. */
+function isOnlyOpened(start: Position | undefined, end: BatchEnd): boolean {
+  if (end.transaction === 'idle') return false;
+  if (start === undefined || end.position === undefined) return false;
+  return comparePositions(end.position, start) === 0;
+}
+
+function tooManyTransactions(databaseId: string): NotRun {
+  return notRun(
+    'overloaded',
+    `${databaseId} has as many open transactions as its connections allow`,
+    TRANSACTION_RETRY_MS,
+  );
+}
+
 function lost(err: unknown, databaseId: string): Verdict {
   return mayHaveRun('targetLost', `database ${databaseId}: ${describe(err)}`);
 }
--- a/src/node/admin-routes.ts
+++ b/src/node/admin-routes.ts
@@ -3,6 +3,7 @@
 import {HOME_METHODS} from '../home/messages.js';
 import {addressOf} from '../home/home-router.js';
 import type {Coordination} from '../membership/coordination.js';
+import type {Member} from '../membership/member.js';
 import type {PeerCaller} from '../peers/types.js';
 import type {StatementMetrics} from '../telemetry/metrics.js';
 import type {AdminAnswer, AdminRequest, AdminRoute} from './admin-server.js';
@@ -20,6 +21,7 @@
   readonly homes: HomeService;
   readonly peers: PeerCaller;
   readonly metrics: StatementMetrics;
+  readonly homeOrder: (group: string) => readonly Member[];
   readonly sessions: () => number;
   readonly isDraining: () => boolean;
 }
@@ -73,14 +75,10 @@
 }
 
 /** The groups as the homes on this VM see them, and every group's home. */
-function groups({homes, config, coordination}: AdminDeps) {
+function groups({homes, config, homeOrder}: AdminDeps) {
   return {
     homes: Object.fromEntries(
-      config.groups.map(({name, databases}) => {
-        const dataCentre = databases[0]?.dataCentre;
-        const [home] = coordination.members.homeOrder(name, {dataCentre});
-        return [name, home?.id ?? null];
-      }),
+      config.groups.map(({name}) => [name, homeOrder(name)[0]?.id ?? null]),
     ),
     views: homes.views(),
   };
@@ -116,12 +114,10 @@
   if (typeof group !== 'string' || typeof databaseId !== 'string') {
     return {status: 400, body: {error: 'name a group and a databaseId'}};
   }
-  const spec = deps.config.findGroup(group);
-  if (spec === undefined) {
+  if (deps.config.findGroup(group) === undefined) {
     return {status: 404, body: {error: `there is no group ${group}`}};
   }
-  const dataCentre = spec.databases[0]?.dataCentre;
-  const [home] = deps.coordination.members.homeOrder(group, {dataCentre});
+  const [home] = deps.homeOrder(group);
   if (home === undefined || home.id === deps.vm) {
     return ok(await deps.homes.switchPrimary(group, databaseId));
   }
--- /dev/null
+++ b/src/node/create-budgets.ts
@@ -0,0 +1,42 @@
+/** Builds a node's budgets on its membership, store and configuration. */
+import {budgetKey} from '../admission/budget-record.js';
+import type {BudgetDeps} from '../admission/types.js';
+import {ConfigEditor} from '../rollout/editor.js';
+import {teamRow} from '../rollout/table.js';
+import {retireInstance} from './instance-retirement.js';
+import type {NodeContext} from './node-context.js';
+import {budgetInstance, MemberBudgetPeers} from './peer-ports.js';
+import {RenewableBudgets} from './renewable-budgets.js';
+
+/** The budgets of all teams at this node. */
+export function createBudgets(ctx: NodeContext): RenewableBudgets {
+  const {vm} = ctx.settings;
+  const {members, standing} = ctx.coordination;
+  const editor = new ConfigEditor({
+    store: ctx.store,
+    clock: ctx.clock,
+    random: ctx.random,
+  });
+  const deps: BudgetDeps = {
+    self: {vm, instance: budgetInstance(vm, ctx.instance)},
+    clock: ctx.clock,
+    random: ctx.random,
+    store: ctx.store,
+    peers: new MemberBudgetPeers(members, ctx.peers),
+    standing: {standing: () => standing.evaluate()},
+    config: {
+      limits: team => teamRow(ctx.config.document.table, team),
+      retired: () => ctx.config.retired,
+      retire: instance => retireInstance(editor, vm, instance),
+    },
+    options: {standingLimitMs: ctx.settings.standingLimitMs},
+  };
+  return new RenewableBudgets({
+    deps,
+    log: ctx.log,
+    ownTeams: () =>
+      [...ctx.config.document.table.teams.keys()].filter(
+        team => members.homeOrder(budgetKey(team))[0]?.id === vm,
+      ),
+  });
+}
--- /dev/null
+++ b/src/node/node-context.ts
@@ -0,0 +1,32 @@
+/** What the parts of a node are built from. */
+import type {Coordination} from '../membership/coordination.js';
+import type {Member} from '../membership/member.js';
+import type {PeerPool} from '../peers/peer-pool.js';
+import type {Clock, Random} from '../platform/clock.js';
+import type {Store} from '../platform/store.js';
+import type {Logger} from '../telemetry/log.js';
+import type {LiveConfig} from './live-config.js';
+import type {NodeSettings} from './settings.js';
+
+/** The parts that the others share. */
+export interface NodeContext {
+  readonly settings: NodeSettings;
+  readonly log: Logger;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Random for each start of the process. */
+  readonly instance: string;
+  readonly store: Store;
+  readonly peers: PeerPool;
+  readonly coordination: Coordination;
+  readonly config: LiveConfig;
+}
+
+/** VMs in order of preference as a group's home; the same on every node. */
+export function groupHomeOrder(
+  {config, coordination}: NodeContext,
+  group: string,
+): readonly Member[] {
+  const dataCentre = config.findGroup(group)?.databases[0]?.dataCentre;
+  return coordination.members.homeOrder(group, {dataCentre});
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -2,20 +2,16 @@
 import {randomUUID} from 'node:crypto';
 import {readFileSync} from 'node:fs';
 import {createSecureContext, type SecureContext} from 'node:tls';
-import {budgetKey} from '../admission/budget-record.js';
-import type {BudgetDeps, BudgetMessage} from '../admission/types.js';
+import type {BudgetMessage} from '../admission/types.js';
 import {CallerServer} from '../callers/caller-server.js';
 import {vmHash, vmHashOf} from '../callers/cancel-keys.js';
 import type {CancelKey} from '../callers/startup.js';
-import type {FailoverEvent} from '../groups/failover-agent.js';
-import type {DatabaseSpec} from '../groups/types.js';
 import {addressOf, HomeRouter} from '../home/home-router.js';
-import {HomeService} from '../home/home-service.js';
+import type {HomeService} from '../home/home-service.js';
 import {
   createCoordination,
   type Coordination,
 } from '../membership/coordination.js';
-import type {Member} from '../membership/member.js';
 import {PeerPool} from '../peers/peer-pool.js';
 import {PeerServer} from '../peers/peer-server.js';
 import type {PeerHandler} from '../peers/types.js';
@@ -23,39 +19,26 @@
 import {EtcdStore} from '../platform/etcd-store.js';
 import type {Store} from '../platform/store.js';
 import type {VmRecord} from '../platform/vm-list.js';
-import {ConfigEditor} from '../rollout/editor.js';
-import {teamRow} from '../rollout/table.js';
 import {createClassifier} from '../routing/classify.js';
 import {TokenSigner} from '../session/token-signer.js';
-import {PgDatabaseControl} from '../targets/database-control.js';
-import {PgTargetConnection} from '../targets/pg-connection.js';
 import type {Logger} from '../telemetry/log.js';
 import {StatementMetrics} from '../telemetry/metrics.js';
 import {ConfiguredAccess} from './access.js';
 import {createAdminRoutes} from './admin-routes.js';
 import {AdminServer} from './admin-server.js';
-import {retireInstance} from './instance-retirement.js';
 import {LiveConfig} from './live-config.js';
-import {
-  BUDGET_METHOD,
-  budgetInstance,
-  MemberBudgetPeers,
-  PeerEvidence,
-} from './peer-ports.js';
-import {RenewableBudgets} from './renewable-budgets.js';
+import {createBudgets} from './create-budgets.js';
+import {createHomes} from './create-homes.js';
+import {waitForConfig} from './first-config.js';
+import {groupHomeOrder, type NodeContext} from './node-context.js';
+import {BUDGET_METHOD} from './peer-ports.js';
+import type {RenewableBudgets} from './renewable-budgets.js';
 import type {NodeSettings} from './settings.js';
 
-const TARGET_CONNECT_TIMEOUT_MS = 500;
 const CANCEL_METHOD = 'callers.cancel';
 const CANCEL_TIMEOUT_MS = 1_000;
-const DEFAULT_WEIGHT = 1;
-/** How long a starting node waits for its first configuration. */
-const CONFIG_WAIT_MS = 5_000;
-const CONFIG_POLL_MS = 20;
 /** How long a starting node may take up budgets before it serves callers. */
 const PREPARE_WAIT_MS = 500;
-/** How long the store may say nothing before the seeds are asked. */
-const SEED_AFTER_MS = 1_000;
 
 /** The ports of a running node. */
 export interface NodePorts {
@@ -77,6 +60,7 @@
   readonly #coordination: Coordination;
   readonly #config: LiveConfig;
   readonly #access: ConfiguredAccess;
+  readonly #context: NodeContext;
   readonly #budgets: RenewableBudgets;
   readonly #homes: HomeService;
   readonly #metrics: StatementMetrics;
@@ -95,8 +79,9 @@
       this.#config,
       this.#coordination.standing,
     );
-    this.#budgets = this.#createBudgets();
-    this.#homes = this.#createHomes();
+    this.#context = this.#createContext();
+    this.#budgets = createBudgets(this.#context);
+    this.#homes = createHomes(this.#context);
     this.#metrics = new StatementMetrics(this.#clock);
     this.#callers = this.#createCallers();
     this.#admin = this.#createAdmin();
@@ -117,7 +102,7 @@
     this.#coordination.start();
     this.#budgets.start();
     this.#homes.start();
-    await this.#waitForConfig();
+    await waitForConfig(this.#context);
     await this.#prepareBudgets();
     await this.#callers.listen();
     await this.#admin.listen(host, adminPort);
@@ -158,50 +143,24 @@
     await this.#coordination.stop();
   }
 
-  /** Callers would be refused by a node that knows no route yet. */
-  async #waitForConfig(): Promise<void> {
-    const until = this.#clock.now() + CONFIG_WAIT_MS;
-    const isMissing = () =>
-      this.#config.document.version === 0 || this.#config.groups.length === 0;
-    const seedAt = this.#clock.now() + SEED_AFTER_MS;
-    let seeded = false;
-    while (isMissing() && this.#clock.now() < until) {
-      await this.#clock.sleep(CONFIG_POLL_MS);
-      if (seeded || !isMissing() || this.#clock.now() < seedAt) continue;
-      seeded = true;
-      this.#introduceSeeds();
-    }
-    if (isMissing())
-      this.#log.warn('configMissing', {waitedMs: CONFIG_WAIT_MS});
-  }
-
   /** Within limits: without the store there is nothing to take up. */
   async #prepareBudgets(): Promise<void> {
     const late = this.#clock.sleep(PREPARE_WAIT_MS);
     await Promise.race([this.#budgets.prepare(), late]);
   }
 
-  /** The store says nothing: learn from the peers that the settings name. */
-  #introduceSeeds(): void {
-    const {seeds, vm} = this.#settings;
-    const others = seeds.filter(({id}) => id !== vm);
-    this.#log.warn('askingSeeds', {seeds: others.length});
-    for (const {id, host, port} of others) {
-      this.#coordination.members.applyDelta({
-        id,
-        instance: '',
-        incarnation: 0,
-        status: 'alive',
-        record: {
-          id,
-          host,
-          peerPort: port,
-          adminPort: 0,
-          dataCentre: '',
-          state: 'live',
-        },
-      });
-    }
+  #createContext(): NodeContext {
+    return {
+      settings: this.#settings,
+      log: this.#log,
+      clock: this.#clock,
+      random: this.#random,
+      instance: this.#instance,
+      store: this.#store,
+      peers: this.#peers,
+      coordination: this.#coordination,
+      config: this.#config,
+    };
   }
 
   #createPeers(): PeerPool {
@@ -233,76 +192,6 @@
     });
   }
 
-  #createBudgets(): RenewableBudgets {
-    const {vm} = this.#settings;
-    const {members, standing} = this.#coordination;
-    const editor = new ConfigEditor({
-      store: this.#store,
-      clock: this.#clock,
-      random: this.#random,
-    });
-    const deps: BudgetDeps = {
-      self: {vm, instance: budgetInstance(vm, this.#instance)},
-      clock: this.#clock,
-      random: this.#random,
-      store: this.#store,
-      peers: new MemberBudgetPeers(members, this.#peers),
-      standing: {standing: () => standing.evaluate()},
-      config: {
-        limits: team => teamRow(this.#config.document.table, team),
-        retired: () => this.#config.retired,
-        retire: instance => retireInstance(editor, vm, instance),
-      },
-      options: {standingLimitMs: this.#settings.standingLimitMs},
-    };
-    return new RenewableBudgets({
-      deps,
-      log: this.#log,
-      ownTeams: () =>
-        [...this.#config.document.table.teams.keys()].filter(
-          team => members.homeOrder(budgetKey(team))[0]?.id === vm,
-        ),
-    });
-  }
-
-  #createHomes(): HomeService {
-    const {members} = this.#coordination;
-    const {dataCentre, targetUser, targetPassword, vm} = this.#settings;
-    return new HomeService({
-      clock: this.#clock,
-      random: this.#random,
-      dataCentre,
-      instanceId: `${vm}/${this.#instance}`,
-      access: {
-        control: spec =>
-          new PgDatabaseControl(spec, {
-            user: targetUser,
-            password: targetPassword,
-          }),
-        connect: spec => this.#connectTarget(spec),
-      },
-      evidence: new PeerEvidence(members, this.#peers, dataCentre),
-      groups: () => this.#config.groups,
-      row: group => this.#config.document.table.groups.get(group),
-      weightOf: team =>
-        teamRow(this.#config.document.table, team)?.rate ?? DEFAULT_WEIGHT,
-      isFirstHome: group => this.#homeOrder(group)[0]?.id === vm,
-      onFailover: (group, event) => this.#logFailover(group, event),
-    });
-  }
-
-  #connectTarget(spec: DatabaseSpec): Promise<PgTargetConnection> {
-    const {targetUser, targetPassword} = this.#settings;
-    return PgTargetConnection.connect({
-      host: spec.host,
-      port: spec.port,
-      user: targetUser,
-      password: targetPassword,
-      database: 'app',
-      timeoutMs: TARGET_CONNECT_TIMEOUT_MS,
-    });
-  }
-
   #createCallers(): CallerServer {
     const {vm, host, port, maxCallers, deadlineMs} = this.#settings;
     const {tokenSecret, previousTokenSecret} = this.#settings;
@@ -323,7 +212,7 @@
           clock: this.#clock,
           peers: this.#peers,
           local: this.#homes,
-          homeOrder: group => this.#homeOrder(group),
+          homeOrder: group => groupHomeOrder(this.#context, group),
           findVm: id => members.find(id),
         }),
         classifier: createClassifier(),
@@ -345,6 +234,7 @@
       homes: this.#homes,
       peers: this.#peers,
       metrics: this.#metrics,
+      homeOrder: group => groupHomeOrder(this.#context, group),
       sessions: () => this.#callers.sessions,
       isDraining: () => this.#draining,
     });
@@ -375,13 +265,6 @@
     });
   }
 
-  /** VMs in order of preference as a group's home; the same on every node. */
-  #homeOrder(group: string): readonly Member[] {
-    const spec = this.#config.findGroup(group);
-    const dataCentre = spec?.databases[0]?.dataCentre;
-    return this.#coordination.members.homeOrder(group, {dataCentre});
-  }
-
   /** Hands a cancel request to the VMs that may have made its key. */
   #forwardCancel(key: CancelKey): void {
     const hash = vmHashOf(key);
@@ -394,20 +277,6 @@
         .catch(() => {});
     }
   }
-
-  #logFailover(group: string, event: FailoverEvent): void {
-    if (event.kind === 'linkFault') {
-      this.#log.debug('linkFault', {group, database: event.databaseId});
-      return;
-    }
-    const {cause, result} = event;
-    this.#log.info('failoverOrdered', {
-      group,
-      cause,
-      outcome: result.kind,
-      detail: JSON.stringify(result),
-    });
-  }
 }
 
 function readTls({tlsCert, tlsKey}: NodeSettings): SecureContext | undefined {
--- a/src/verdict/sqlstate.ts
+++ b/src/verdict/sqlstate.ts
@@ -53,6 +53,11 @@
     sqlstate: '53400',
     hint: "The team is over its rate; slow down or ask to raise the row's rate.",
   },
+  budgetUnavailable: {
+    severity: 'ERROR',
+    sqlstate: '57P03',
+    hint: 'No VM could say whether the team is within its rate.',
+  },
   overloaded: {
     severity: 'ERROR',
     sqlstate: '53300',
--- a/src/verdict/verdict.ts
+++ b/src/verdict/verdict.ts
@@ -13,6 +13,7 @@
   | 'notAuthorised'
   | 'cutOff'
   | 'rateLimited'
+  | 'budgetUnavailable'
   | 'overloaded'
   | 'noPrimary'
   | 'staleReplicas'
--- a/test/verdict/sqlstate.test.ts
+++ b/test/verdict/sqlstate.test.ts
@@ -14,6 +14,7 @@
   notAuthorised: '28P01',
   cutOff: '57P03',
   rateLimited: '53400',
+  budgetUnavailable: '57P03',
   overloaded: '53300',
   noPrimary: '57P03',
   staleReplicas: '57P03',
