--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -166,7 +166,13 @@
    */
   async prepare(): Promise<boolean> {
     if (this.#ownership.isSettled) return true;
-    await this.#becomeOwner();
+    // Counted, so that the budget is not forgotten while the store answers.
+    this.#calls += 1;
+    try {
+      await this.#becomeOwner();
+    } finally {
+      this.#calls -= 1;
+    }
     return this.#ownership.isSettled;
   }
 
