--- a/src/membership/known-vm.ts
+++ b/src/membership/known-vm.ts
@@ -45,8 +45,7 @@
   const dismissed = state === 'leaving' || listing === 'removed';
   const status =
     dismissed && identity.status !== 'dead' ? 'leaving' : identity.status;
-  const {instance} = identity;
-  return {...place, instance, status, listed: listing === 'listed'};
+  return {...place, status, listed: listing === 'listed'};
 }
 
 /** What other nodes are told of a VM. */
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -16,8 +16,6 @@
 
 /** A VM of the system. */
 export interface Member extends Omit<VmRecord, 'state'> {
-  /** The process that runs on it; empty while nobody has heard of it. */
-  readonly instance: string;
   readonly status: MemberStatus;
   /** Whether the platform's list contains it. */
   readonly listed: boolean;
--- a/src/membership/members.ts
+++ b/src/membership/members.ts
@@ -257,12 +257,11 @@
     vm.identity = identity;
     if (identity.status === 'alive') vm.isDoubtful = false;
     const changed = identity.status !== status;
-    const restarted = identity.instance !== instance;
     // That a listed VM runs for the first time is no news to anyone.
     const isNews = instance !== '' || vm.listing === 'unlisted';
     if (changed || isNews) this.#changes.note(vm.record.id);
-    if (!changed && !restarted) return this.#digest.clear();
-    if (changed) vm.statusForMs = 0;
+    if (!changed) return this.#digest.clear();
+    vm.statusForMs = 0;
     this.#notify();
   }
 
--- a/src/node/peer-ports.ts
+++ b/src/node/peer-ports.ts
@@ -48,19 +48,31 @@
   }
 
   live(): readonly NodeRef[] {
-    return this.#members.live().flatMap(refsOf);
+    return this.#members.live().flatMap(member => this.#refsOf(member));
   }
 
   isGone(instance: string): boolean {
     const member = this.#members.find(vmOf(instance));
     if (member === undefined || member.status === 'dead') return true;
-    if (member.instance === '') return false;
-    const running = budgetInstance(member.id, member.instance);
+    const known = this.#processOn(member.id);
+    if (known === '') return false;
+    const running = budgetInstance(member.id, known);
     return instance !== running && !instance.startsWith(`${running}.`);
   }
 
   homeOrder(key: string): readonly NodeRef[] {
-    return this.#members.homeOrder(key).flatMap(refsOf);
+    return this.#members.homeOrder(key).flatMap(one => this.#refsOf(one));
+  }
+
+  /** Nothing, as long as the process on the VM is not known. */
+  #refsOf({id}: Member): readonly NodeRef[] {
+    const instance = this.#processOn(id);
+    if (instance === '') return [];
+    return [{vm: id, instance: budgetInstance(id, instance)}];
+  }
+
+  #processOn(vm: string): string {
+    return this.#members.identityOf(vm)?.instance ?? '';
   }
 }
 
@@ -73,12 +85,6 @@
   return instance.slice(0, instance.lastIndexOf(INSTANCE_SEPARATOR));
 }
 
-/** Nothing, as long as the process on the VM is not known. */
-function refsOf({id, instance}: Member): readonly NodeRef[] {
-  if (instance === '') return [];
-  return [{vm: id, instance: budgetInstance(id, instance)}];
-}
-
 /** Asks nodes of other data centres what they reach. */
 export class PeerEvidence implements EvidencePort {
   readonly #members: Members;
