--- /dev/null
+++ b/bench/slopes.ts
@@ -0,0 +1,104 @@
+/**
+ * `npm run bench -- slopes`: control traffic, processor time and memory of a
+ * node as the fleet grows, with all nodes in this process under virtual time.
+ */
+import {ConfigDocument} from '../src/rollout/config-document.js';
+import {decodeDocument, encodeDocument} from '../src/rollout/config-codec.js';
+import {createTable} from '../src/rollout/table.js';
+import {Fleet} from '../test/membership/fleet.js';
+import {fixed, formatTable} from './figures.js';
+
+const SIZES: readonly number[] = [7, 50, 200, 1_000];
+const SETTLE_MS = 8_000;
+const MEASURED_MS = 5_000;
+const CONFIG = 'zinnia/config';
+const CONFIG_CHARACTERS = 20_000;
+const IN_FORCE_LIMIT_MS = 20_000;
+const MEBIBYTE = 2 ** 20;
+const TEAMS = 2_000;
+const GROUPS = 1_300;
+const CODEC_RUNS = 20;
+
+/** Runs the bench and prints its tables. */
+export async function run(): Promise<void> {
+  const rows: string[][] = [];
+  for (const size of SIZES) rows.push(await measureFleet(size));
+  const header = [
+    'nodes',
+    'B/s mean',
+    'B/s busiest (budget 5,000)',
+    'CPU ms per node-second (budget 25)',
+    'heap KiB per node',
+    'edit held by all ms (target 4,000)',
+  ];
+  console.log('\ncontrol of one node: membership, dissemination, standing');
+  console.log(formatTable(header, rows));
+  measureDocument();
+}
+
+async function measureFleet(size: number): Promise<string[]> {
+  const heapBefore = process.memoryUsage().heapUsed;
+  const fleet = new Fleet({size});
+  fleet.startAll();
+  await fleet.clock.advance(SETTLE_MS);
+  fleet.net.takeTraffic();
+  const cpuBefore = process.cpuUsage();
+  await fleet.clock.advance(MEASURED_MS);
+  const {user, system} = process.cpuUsage(cpuBefore);
+  const heap = process.memoryUsage().heapUsed - heapBefore;
+  const bytes = [...fleet.net.takeTraffic().values()].map(
+    ({sentBytes, receivedBytes}) =>
+      ((sentBytes + receivedBytes) * 1_000) / MEASURED_MS,
+  );
+  const heldMs = await measureEdit(fleet, size);
+  await fleet.stop();
+  const mean = bytes.reduce((sum, one) => sum + one, 0) / size;
+  const cpuMs = (user + system) / 1_000 / size / (MEASURED_MS / 1_000);
+  return [
+    String(size),
+    fixed(mean),
+    fixed(Math.max(...bytes)),
+    fixed(cpuMs, 2),
+    fixed(heap / 1_024 / size),
+    fixed(heldMs),
+  ];
+}
+
+async function measureEdit(fleet: Fleet, size: number): Promise<number> {
+  let held = 0;
+  const startMs = fleet.clock.now();
+  for (const {documents} of fleet.nodes.values()) {
+    documents.onChange(() => held++);
+  }
+  fleet.store.put(CONFIG, 'x'.repeat(CONFIG_CHARACTERS));
+  await fleet.clock.advanceUntil(() => held === size, IN_FORCE_LIMIT_MS);
+  return fleet.clock.now() - startMs;
+}
+
+/** Size and decoding time of a configuration of the size to design for. */
+function measureDocument(): void {
+  const teams = Array.from({length: TEAMS}, (_, i) => ({
+    cells: {kind: 'team', name: `team-${i}`, rate: 100, burst: 50},
+  }));
+  const groups = Array.from({length: GROUPS}, (_, i) => ({
+    cells: {
+      kind: 'group',
+      name: `group-${i}`,
+      oldWeight: 50,
+      newWeight: 50,
+      staleMs: 1_000,
+    },
+  }));
+  const table = createTable([...groups, ...teams]);
+  const rows = [...table.groups.values(), ...table.teams.values()];
+  const document = ConfigDocument.EMPTY.withRows(
+    rows.map(row => ({kind: 'put', row}) as const),
+  );
+  const text = encodeDocument(document);
+  const startedAt = performance.now();
+  for (let i = 0; i < CODEC_RUNS; i++) decodeDocument(text);
+  const decodeMs = (performance.now() - startedAt) / CODEC_RUNS;
+  console.log(
+    `\nconfiguration of ${GROUPS} groups and ${TEAMS} teams: ${fixed(text.length / 1_024)} KiB (limit 1 MB), decoded in ${fixed(decodeMs, 1)} ms; resident memory here ${fixed(process.memoryUsage().rss / MEBIBYTE)} MiB`,
+  );
+}
