--- a/src/callers/statement-runner.ts
+++ b/src/callers/statement-runner.ts
@@ -56,6 +56,7 @@
   /** Runs a batch; every failure is in the result's verdict. */
   async run(req: RunRequest): Promise<ExecResult> {
     const wasOpen = this.#transaction !== 'idle';
+    const kind = this.#kindOf(req.classification);
     const result = await this.#admitAndExecute(req);
     this.#transaction = result.transaction;
     this.#pin = result.pin;
@@ -63,7 +64,9 @@
     if (isLost && result.verdict.kind !== 'done' && !hasEnd(req)) {
       this.breakTransaction();
     }
-    if (result.position !== undefined) this.#remember(result.position);
+    if (result.position !== undefined) {
+      this.#remember(result.position, kind);
+    }
     this.#observe(req, result);
     return result;
   }
@@ -156,8 +159,14 @@
     return statements.some(({kind}) => kind === 'commit');
   }
 
-  #remember(position: Position): void {
+  /**
+   * The token follows what the session wrote. What a read saw counts only for
+   * a session of whose past nothing was known: each read at the primary would
+   * otherwise keep the session there for as long as others write.
+   */
+  #remember(position: Position, kind: 'read' | 'write'): void {
     const {group} = this.#authority;
+    if (kind === 'read' && this.#parameters.token.at(group)) return;
     this.#parameters.token = this.#parameters.token.with(group, position);
   }
 
