--- a/bench/path.ts
+++ b/bench/path.ts
@@ -5,7 +5,7 @@
 import yargs from 'yargs';
 import {Fleet} from '../demo/fleet.js';
 import {TASMAN, type Profile} from '../demo/profiles.js';
-import {printTable} from './print-table.js';
+import {formatTable} from './figures.js';
 
 const GROUP = 'members';
 const TEAM = 'assessors';
@@ -74,36 +74,38 @@
   const replicaPercent = await readReplicaPercent(fleet);
   const added = (percentile: number) =>
     toMs(nodeLatency, percentile) - toMs(directLatency, percentile);
-  printTable(
-    ['measure', 'direct', 'node', 'ratio', 'target'],
-    [
+  console.log(
+    formatTable(
+      ['measure', 'direct', 'node', 'ratio', 'target'],
       [
-        `statements/s, ${options.sessions} sessions`,
-        directRate.toFixed(0),
-        nodeRate.toFixed(0),
-        (nodeRate / directRate).toFixed(2),
-        `${TARGET_STATEMENTS_PER_SECOND} at the node`,
+        [
+          `statements/s, ${options.sessions} sessions`,
+          directRate.toFixed(0),
+          nodeRate.toFixed(0),
+          (nodeRate / directRate).toFixed(2),
+          `${TARGET_STATEMENTS_PER_SECOND} at the node`,
+        ],
+        ...[50, 99].map(percentile => [
+          `p${percentile} ms, one session`,
+          toMs(directLatency, percentile).toFixed(3),
+          toMs(nodeLatency, percentile).toFixed(3),
+          (
+            toMs(nodeLatency, percentile) / toMs(directLatency, percentile)
+          ).toFixed(2),
+          '',
+        ]),
+        [
+          'added p50 ms',
+          '',
+          added(50).toFixed(3),
+          '',
+          `< ${TARGET_ADDED_P50_MS}`,
+        ],
+        ['added p99 ms', '', added(99).toFixed(3), '', ''],
+        ['MiB per 1,000 idle callers', '', idleMib.toFixed(1), '', ''],
+        ['reads at replicas, %', '100', replicaPercent.toFixed(1), '', ''],
       ],
-      ...[50, 99].map(percentile => [
-        `p${percentile} ms, one session`,
-        toMs(directLatency, percentile).toFixed(3),
-        toMs(nodeLatency, percentile).toFixed(3),
-        (
-          toMs(nodeLatency, percentile) / toMs(directLatency, percentile)
-        ).toFixed(2),
-        '',
-      ]),
-      [
-        'added p50 ms',
-        '',
-        added(50).toFixed(3),
-        '',
-        `< ${TARGET_ADDED_P50_MS}`,
-      ],
-      ['added p99 ms', '', added(99).toFixed(3), '', ''],
-      ['MiB per 1,000 idle callers', '', idleMib.toFixed(1), '', ''],
-      ['reads at replicas, %', '100', replicaPercent.toFixed(1), '', ''],
-    ],
+    ),
   );
 }
 
