--- a/src/callers/batch.ts
+++ b/src/callers/batch.ts
@@ -5,11 +5,11 @@
  * ParseComplete answers are dropped again.
  */
 import {serialize} from 'pg-protocol';
+import {buildFrame, cString} from '../targets/frames.js';
 import {BodyReader} from './body-reader.js';
 import {ProtocolError, type Frame} from './socket-reader.js';
 
 const PARSE_COMPLETE = 0x31;
-const HEADER_BYTES = 5;
 const UNKNOWN_STATEMENT = '26000';
 /** Statements that one session may keep prepared. */
 const MAX_PREPARED = 1_000;
@@ -103,7 +103,9 @@
     const portal = body.cstring();
     const name = body.cstring();
     this.#use(name);
-    this.#frames.push(message('B', cstring(portal), cstring(''), body.rest()));
+    this.#frames.push(
+      buildFrame('B', cString(portal), cString(''), body.rest()),
+    );
   }
 
   #describe(frame: Frame, body: BodyReader): void {
@@ -112,7 +114,7 @@
       return;
     }
     this.#use(body.cstring());
-    this.#frames.push(message('D', Buffer.from('S'), cstring('')));
+    this.#frames.push(buildFrame('D', Buffer.from('S'), cString('')));
   }
 
   #close(frame: Frame, body: BodyReader): void {
@@ -122,7 +124,7 @@
     }
     this.#prepared.delete(body.cstring());
     this.#loaded = undefined;
-    this.#frames.push(message('C', Buffer.from('S'), cstring('')));
+    this.#frames.push(buildFrame('C', Buffer.from('S'), cString('')));
   }
 
   /** Makes the unnamed statement on the target hold the named one. */
@@ -141,7 +143,7 @@
       );
     }
     if (wanted) this.#statements.push(statement.sql);
-    this.#frames.push(message('P', cstring(''), statement.tail));
+    this.#frames.push(buildFrame('P', cString(''), statement.tail));
     this.#wantedParses.push(wanted);
     this.#loaded = name;
   }
@@ -171,15 +173,3 @@
     return kept.length === 1 && kept[0] ? kept[0] : Buffer.concat(kept);
   }
 }
-
-function cstring(text: string): Buffer {
-  return Buffer.from(`${text}\0`, 'utf8');
-}
-
-function message(type: string, ...parts: readonly Buffer[]): Buffer {
-  const header = Buffer.alloc(HEADER_BYTES);
-  header.write(type, 0, 'latin1');
-  const length = parts.reduce((sum, part) => sum + part.length, 0);
-  header.writeInt32BE(length + HEADER_BYTES - 1, 1);
-  return Buffer.concat([header, ...parts]);
-}
--- a/src/home/home-router.ts
+++ b/src/home/home-router.ts
@@ -1,4 +1,5 @@
 /** The entry's way to the home of a group, wherever that is. */
+import {toPeerAddress} from '../membership/known-vm.js';
 import type {Member} from '../membership/member.js';
 import {PeerError, type PeerCaller} from '../peers/types.js';
 import type {Clock} from '../platform/clock.js';
@@ -119,7 +120,7 @@
     sink: PartSink,
     signal: AbortSignal,
   ): Promise<ExecResult> {
-    const address = addressOf(home);
+    const address = toPeerAddress(home);
     try {
       const result = await this.#options.peers.call(
         address,
@@ -142,16 +143,11 @@
     if (home === undefined) return;
     const options = {timeoutMs: ORDER_TIMEOUT_MS};
     await this.#options.peers
-      .call(addressOf(home), method, body, options)
+      .call(toPeerAddress(home), method, body, options)
       .catch(() => {});
   }
 }
 
-/** Where a VM listens for other nodes. */
-export function addressOf({id, host, peerPort}: Member) {
-  return {id, host, port: peerPort};
-}
-
 /** Whether another home may run the batch without running it twice. */
 function mayTryNext(
   req: ExecRequest,
--- a/src/node/admin-routes.ts
+++ b/src/node/admin-routes.ts
@@ -1,7 +1,7 @@
 /** What a node tells operators, and what they can order from it. */
 import type {HomeService} from '../home/home-service.js';
 import {HOME_METHODS} from '../home/messages.js';
-import {addressOf} from '../home/home-router.js';
+import {toPeerAddress} from '../membership/known-vm.js';
 import type {Coordination} from '../membership/coordination.js';
 import type {Member} from '../membership/member.js';
 import type {PeerCaller} from '../peers/types.js';
@@ -124,5 +124,5 @@
   const body = {group, databaseId};
   const options = {timeoutMs: SWITCH_TIMEOUT_MS};
   const method = HOME_METHODS.switchPrimary;
-  return ok(await deps.peers.call(addressOf(home), method, body, options));
+  return ok(await deps.peers.call(toPeerAddress(home), method, body, options));
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -6,7 +6,8 @@
 import {CallerServer} from '../callers/caller-server.js';
 import {vmHash, vmHashOf} from '../callers/cancel-keys.js';
 import type {CancelKey} from '../callers/startup.js';
-import {addressOf, HomeRouter} from '../home/home-router.js';
+import {HomeRouter} from '../home/home-router.js';
+import {toPeerAddress} from '../membership/known-vm.js';
 import type {HomeService} from '../home/home-service.js';
 import {
   createCoordination,
@@ -273,7 +274,7 @@
         continue;
       const options = {timeoutMs: CANCEL_TIMEOUT_MS};
       this.#peers
-        .call(addressOf(member), CANCEL_METHOD, key, options)
+        .call(toPeerAddress(member), CANCEL_METHOD, key, options)
         .catch(() => {});
     }
   }
--- a/src/node/peer-ports.ts
+++ b/src/node/peer-ports.ts
@@ -6,7 +6,7 @@
   NodeRef,
 } from '../admission/types.js';
 import type {EvidencePort} from '../groups/evidence.js';
-import {addressOf} from '../home/home-router.js';
+import {toPeerAddress} from '../membership/known-vm.js';
 import {HOME_METHODS} from '../home/messages.js';
 import type {Member} from '../membership/member.js';
 import type {Members} from '../membership/members.js';
@@ -42,7 +42,7 @@
       throw new Error(`no VM runs instance ${instance}`);
     }
     const options = {timeoutMs};
-    const address = addressOf(member);
+    const address = toPeerAddress(member);
     const reply = this.#caller.call(address, BUDGET_METHOD, message, options);
     return (await reply) as BudgetReply;
   }
@@ -104,7 +104,7 @@
     const answers = await Promise.allSettled(
       this.#witnesses(group).map(member =>
         this.#caller.call(
-          addressOf(member),
+          toPeerAddress(member),
           HOME_METHODS.reach,
           {group, databaseId},
           {timeoutMs: EVIDENCE_TIMEOUT_MS},
