--- a/src/admission/allocation.ts
+++ b/src/admission/allocation.ts
@@ -1,6 +1,14 @@
 /** How an owner divides a budget between the nodes that need it. */
 
-import {isNoShare, NO_SHARE, tokensIn, unitsFor, WHOLE_UNITS} from './share.js';
+import {
+  isNoShare,
+  NO_SHARE,
+  subtractShares,
+  tokensIn,
+  unitsFor,
+  WHOLE,
+  WHOLE_UNITS,
+} from './share.js';
 import type {BudgetLimits, Share, SyncMessage} from './types.js';
 
 /** The part of the rate that the owner keeps for nodes that ask. */
@@ -9,6 +17,9 @@
 /** The part of the burst that the owner keeps for nodes that ask. */
 const RESERVED_BURST_RATIO = 0.25;
 
+/** The part of a budget that is kept away from the owner's node. */
+const STANDBY_RATIO = 0.25;
+
 /** A share whose burst holds fewer tokens than this is of no use. */
 const MIN_SHARE_TOKENS = 2;
 
@@ -62,6 +73,21 @@
   };
 }
 
+/**
+ * What the owner's standby keeps without demand, so that a part of the budget
+ * outlives the owner. `here` is what the owner and the standby have between
+ * them; what other nodes hold outlives the owner as well.
+ */
+export function reserveShare(here: Share, limits: BudgetLimits): Share {
+  const elsewhere = subtractShares(WHOLE, here);
+  const missing = (key: keyof Share) =>
+    Math.max(0, Math.floor(STANDBY_RATIO * WHOLE_UNITS - elsewhere[key]));
+  const reserve = {rate: missing('rate'), burst: missing('burst')};
+  return tokensIn(reserve.burst, limits) < MIN_SHARE_TOKENS
+    ? NO_SHARE
+    : reserve;
+}
+
 /** The part of `wanted` that fits into `pool` without what is kept of it. */
 export function affordableRise(
   held: Share,
--- a/src/admission/budget-service.ts
+++ b/src/admission/budget-service.ts
@@ -84,6 +84,19 @@
     await Promise.all(fresh.map(team => this.#prepareOne(team)));
   }
 
+  /**
+   * Keeps a reserve of exactly these teams' budgets, so that they outlive an
+   * owner that is lost in a store outage. Meant for the teams whose second
+   * choice is this node.
+   */
+  standBy(teams: readonly string[]): void {
+    const chosen = new Set(teams);
+    for (const [team, budget] of this.#teams) {
+      if (!chosen.has(team)) budget.standBy(false);
+    }
+    for (const team of chosen) this.#budgetOf(team).standBy(true);
+  }
+
   async #prepareOne(team: string): Promise<void> {
     this.#prepared.add(team);
     const isOwned = await this.#budgetOf(team).prepare();
--- a/src/admission/owner-link.ts
+++ b/src/admission/owner-link.ts
@@ -2,6 +2,7 @@
 
 import type {Clock} from '../platform/clock.js';
 import type {Ownership} from './ownership.js';
+import type {Succession} from './succession.js';
 import type {SyncSchedule} from './sync-schedule.js';
 import type {SyncContext, SyncPurpose, TeamHolder} from './team-holder.js';
 import type {BudgetPeers, BudgetReply, SyncMessage} from './types.js';
@@ -20,9 +21,7 @@
   readonly holder: TeamHolder;
   readonly schedule: SyncSchedule;
   readonly context: (purpose: SyncPurpose) => SyncContext;
-  /** Takes a vacant ownership; whether this node then has it. */
-  readonly becomeOwner: () => Promise<boolean>;
-  readonly learn: (epoch: number, owner: string | undefined) => void;
+  readonly succession: Succession;
 }
 
 /** Finds the owner, writes to it and takes in what it answers. */
@@ -54,7 +53,7 @@
   }
 
   async #exchange(purpose: SyncPurpose, timeoutMs: number): Promise<void> {
-    const {becomeOwner, clock, ownership, schedule, self} = this.#deps;
+    const {clock, ownership, schedule, self, succession} = this.#deps;
     let avoided: string | undefined;
     for (let hop = 0; hop < MAX_HOPS; hop++) {
       const to = await ownership.locate();
@@ -65,12 +64,14 @@
         continue;
       }
       if (to === self) {
-        if (await becomeOwner()) return;
+        if (await succession.becomeOwner()) return;
         ownership.avoid(self);
         avoided = self;
         continue;
       }
-      const reply = await this.#call(to, purpose, timeoutMs);
+      const sent = this.#proved(purpose);
+      const reply = await this.#call(to, sent, timeoutMs);
+      if (reply?.kind === 'granted' && sent !== purpose) continue;
       if (reply?.kind === 'busy') ownership.avoid(to);
       if (reply?.kind !== 'notOwner') return;
       // Without the store, another node may still know the owner.
@@ -80,6 +81,14 @@
     schedule.failed();
   }
 
+  /** An owner that may be gone is first asked whether it is there. */
+  #proved(purpose: SyncPurpose): SyncPurpose {
+    const {holder, schedule} = this.#deps;
+    if (purpose === 'ask' || schedule.isOwnerFresh) return purpose;
+    const givesUp = purpose === 'release' || holder.hasExcess;
+    return givesUp ? 'check' : purpose;
+  }
+
   async #call(
     to: string,
     purpose: SyncPurpose,
@@ -103,20 +112,20 @@
   }
 
   #settle(message: SyncMessage, reply: BudgetReply): void {
-    const {holder, learn, ownership, schedule} = this.#deps;
+    const {holder, ownership, schedule, succession} = this.#deps;
     switch (reply.kind) {
       case 'granted':
-        learn(reply.epoch, reply.owner);
+        succession.learn(reply.epoch, reply.owner);
         if (!holder.accept(reply, ownership.epoch)) return;
         schedule.answered(reply.askAgainMs, reply.retryAfterMs);
         return;
       case 'void':
         if (reply.epoch < ownership.epoch) return;
-        learn(reply.epoch, reply.owner);
+        succession.learn(reply.epoch, reply.owner);
         if (message.heldEpoch <= reply.epoch) holder.clear();
         return;
       case 'notOwner':
-        learn(reply.epoch, reply.owner);
+        succession.learn(reply.epoch, reply.owner);
         return;
       default:
         schedule.failed();
--- a/src/admission/ownership.ts
+++ b/src/admission/ownership.ts
@@ -68,6 +68,15 @@
     return this.isSettled ? this.owner : this.#firstChoice();
   }
 
+  /** The nodes that may hold a share, those that are asked first at first. */
+  candidates(): readonly string[] {
+    const {guard, peers, team} = this.#deps;
+    return peers
+      .homeOrder(budgetKey(team))
+      .map(({instance}) => instance)
+      .filter(one => !guard.isRetired(one));
+  }
+
   /** Has another node asked where `instance` did not answer as the owner. */
   avoid(instance: string): void {
     this.#avoidUntilMs.set(instance, this.#deps.guard.nowMs + AVOID_MS);
@@ -170,11 +179,7 @@
   }
 
   #firstChoice(except?: string): string | undefined {
-    const {team, guard, peers} = this.#deps;
-    const fit = peers
-      .homeOrder(budgetKey(team))
-      .map(({instance}) => instance)
-      .filter(one => one !== except && !guard.isRetired(one));
+    const fit = this.candidates().filter(one => one !== except);
     return fit.find(one => !this.#isAvoided(one)) ?? fit[0];
   }
 
--- a/src/admission/share.ts
+++ b/src/admission/share.ts
@@ -27,6 +27,11 @@
   return {rate: Math.min(a.rate, b.rate), burst: Math.min(a.burst, b.burst)};
 }
 
+/** The larger of two shares, for rate and burst each. */
+export function maxShare(a: Share, b: Share): Share {
+  return {rate: Math.max(a.rate, b.rate), burst: Math.max(a.burst, b.burst)};
+}
+
 /** Whether `a` has at least the rate and the burst of `b`. */
 export function includesShare(a: Share, b: Share): boolean {
   return a.rate >= b.rate && a.burst >= b.burst;
--- a/src/admission/sync-schedule.ts
+++ b/src/admission/sync-schedule.ts
@@ -15,6 +15,8 @@
 const REFRESH_INTERVAL_MS = 5_000;
 /** Least change of demand worth a report. */
 const DEMAND_CHANGE_RATIO = 0.25;
+/** What is given back to an owner not heard of for this long may be lost. */
+const OWNER_FRESH_MS = 1_000;
 const MIN_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 1_000;
 
@@ -24,6 +26,8 @@
   readonly isOutdated: boolean;
   /** The owner known was retired. */
   readonly isOrphan: boolean;
+  /** This node keeps a reserve of the budget even without work. */
+  readonly isStandby: boolean;
 }
 
 /** Paces the messages about one team. */
@@ -35,6 +39,7 @@
   #nextReportAtMs = -Infinity;
   #tokenDueAtMs = -Infinity;
   #failures = 0;
+  #answeredAtMs = -Infinity;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -56,6 +61,17 @@
     return this.#failures === 0 && this.#tokenDueAtMs !== -Infinity;
   }
 
+  /** Whether the owner did not answer the last message. */
+  get isSilent(): boolean {
+    return this.#failures > 0;
+  }
+
+  /** Whether the owner answered a moment ago. */
+  get isOwnerFresh(): boolean {
+    const silentMs = this.#clock.now() - this.#answeredAtMs;
+    return this.#failures === 0 && silentMs < OWNER_FRESH_MS;
+  }
+
   sent(demand: number): void {
     this.#sentAtMs = this.#clock.now();
     this.#sentDemand = demand;
@@ -64,6 +80,7 @@
   answered(askAgainMs: number, retryAfterMs: number): void {
     const nowMs = this.#clock.now();
     this.#failures = 0;
+    this.#answeredAtMs = nowMs;
     this.#nextAskAtMs = nowMs + askAgainMs;
     this.#tokenDueAtMs = nowMs + retryAfterMs;
   }
@@ -84,13 +101,16 @@
     relation: OwnerRelation,
   ): SyncPurpose | undefined {
     const nowMs = this.#clock.now();
-    if (isNoShare(holder.share) || nowMs < this.#nextReportAtMs) {
-      return undefined;
+    if (nowMs < this.#nextReportAtMs) return undefined;
+    const quietMs = nowMs - this.#sentAtMs;
+    const isRefreshDue = quietMs >= REFRESH_INTERVAL_MS;
+    if (isNoShare(holder.share)) {
+      return relation.isStandby && isRefreshDue ? 'report' : undefined;
     }
     if (relation.isOutdated || relation.isOrphan) return 'report';
-    if (meter.idleMs >= RELEASE_AFTER_MS) return 'release';
-    const quietMs = nowMs - this.#sentAtMs;
-    if (quietMs >= REFRESH_INTERVAL_MS) return 'report';
+    const isWorkless = meter.idleMs >= RELEASE_AFTER_MS;
+    if (isWorkless && !relation.isStandby) return 'release';
+    if (isRefreshDue) return 'report';
     if (quietMs < REPORT_INTERVAL_MS) return undefined;
     const change = Math.abs(meter.perSecond - this.#sentDemand);
     const isChanged = change > DEMAND_CHANGE_RATIO * (this.#sentDemand + 1);
--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -1,16 +1,20 @@
 /** One team's budget as this node sees it: as a holder, and maybe the owner. */
 
 import type {BudgetRecords} from './budget-record.js';
+import {createRefusal} from './budget-refusal.js';
 import {DemandMeter} from './demand-meter.js';
 import {OwnerLink} from './owner-link.js';
 import {OwnerRole} from './owner-role.js';
 import {Ownership} from './ownership.js';
 import type {RetirementTimers} from './retirement-timers.js';
+import {RemoteSpender} from './remote-spender.js';
 import {isNoShare} from './share.js';
 import type {SpendGuard} from './spend-guard.js';
+import {Succession} from './succession.js';
 import {SyncSchedule} from './sync-schedule.js';
 import {TeamHolder, type SyncContext, type SyncPurpose} from './team-holder.js';
 import type {TeamOwner} from './team-owner.js';
+import {TokenSupply} from './token-supply.js';
 import type {
   Admission,
   BudgetDeps,
@@ -21,18 +25,9 @@
   SyncMessage,
 } from './types.js';
 
-/**
- * How long a statement waits for the owner's answer. Silence does not say that
- * the team is over its rate; an owner without tokens says so at once.
- */
-const ASK_TIMEOUT_MS = 250;
 const REPORT_TIMEOUT_MS = 250;
 /** How often a leaving node tries to hand its share back. */
 const MAX_LEAVE_ATTEMPTS = 5;
-const MIN_RETRY_MS = 1;
-const MAX_RETRY_MS = 60_000;
-/** When to come back to a node that may not spend. */
-const NO_STANDING_RETRY_MS = 1_000;
 
 const ADMITTED: Admission = {kind: 'admitted'};
 const NO_LIMITS: BudgetLimits = {rate: 0, burst: 0};
@@ -57,9 +52,11 @@
   readonly #holder: TeamHolder;
   readonly #schedule: SyncSchedule;
   readonly #role: OwnerRole;
-  #calls = 0;
+  readonly #succession: Succession;
   readonly #link: OwnerLink;
-  #waiting = 0;
+  readonly #supply: TokenSupply;
+  #calls = 0;
+  #isStandby = false;
 
   constructor(deps: TeamBudgetDeps) {
     const {team, clock, guard, peers, records} = deps;
@@ -69,6 +66,22 @@
     this.#ownership = new Ownership({team, self, guard, peers, records});
     this.#holder = new TeamHolder(clock, guard, () => this.#limits());
     this.#schedule = new SyncSchedule(clock);
+    this.#role = new OwnerRole({
+      ...deps,
+      self,
+      ownership: this.#ownership,
+      limits: () => this.#limits(),
+      ownDemand: () => this.#meter.perSecond,
+    });
+    this.#succession = new Succession({
+      team,
+      self,
+      guard,
+      peers,
+      ownership: this.#ownership,
+      holder: this.#holder,
+      role: this.#role,
+    });
     this.#link = new OwnerLink({
       self,
       clock,
@@ -77,15 +90,21 @@
       holder: this.#holder,
       schedule: this.#schedule,
       context: purpose => this.#context(purpose),
-      becomeOwner: () => this.#becomeOwner(),
-      learn: (epoch, owner) => this.#learn(epoch, owner),
+      succession: this.#succession,
     });
-    this.#role = new OwnerRole({
-      ...deps,
-      self,
-      ownership: this.#ownership,
-      limits: () => this.#limits(),
-      ownDemand: () => this.#meter.perSecond,
+    this.#supply = new TokenSupply({
+      clock,
+      holder: this.#holder,
+      schedule: this.#schedule,
+      link: this.#link,
+      remoteSpender: new RemoteSpender({
+        team,
+        self,
+        clock,
+        peers,
+        candidates: () => this.#ownership.candidates(),
+      }),
+      owner: () => this.#owner,
     });
   }
 
@@ -93,7 +112,7 @@
   get isIdle(): boolean {
     const isBusy = this.#calls > 0 || this.#link.isBusy;
     if (isBusy || this.#owner !== undefined) return false;
-    if (!isNoShare(this.#holder.share)) return false;
+    if (!isNoShare(this.#holder.share) || this.#isStandby) return false;
     return this.#schedule.isIdle(this.#meter);
   }
 
@@ -121,11 +140,11 @@
   async admit(deadlineMs: number): Promise<Admission> {
     this.#meter.record();
     if (this.#trySpend()) return ADMITTED;
-    const canAsk = this.#deps.guard.maySpend() && this.#limits().burst >= 1;
-    if (canAsk && this.#schedule.mayAsk()) await this.#replenish(deadlineMs);
-    const isAdmitted = this.#trySpend();
-    this.#returnExcess();
-    return isAdmitted ? ADMITTED : this.#refusal();
+    if (!this.#canAsk()) return this.#refusal();
+    const trySpend = () => this.#trySpend();
+    const isObtained = await this.#supply.obtain(deadlineMs, trySpend);
+    this.#supply.returnExcess();
+    return isObtained && this.#canAsk() ? ADMITTED : this.#refusal();
   }
 
   async handle(message: BudgetMessage): Promise<BudgetReply> {
@@ -144,8 +163,10 @@
       case 'recall':
         return this.#giveBack(message);
       case 'moved':
-        this.#learn(message.epoch, message.owner);
+        this.#succession.learn(message.epoch, message.owner);
         return {kind: 'accepted'};
+      case 'spend':
+        return this.#spendForOther(message.count);
     }
   }
 
@@ -156,6 +177,7 @@
     const purpose = this.#schedule.due(this.#meter, this.#holder, {
       isOutdated: this.#holder.heldEpoch < this.#ownership.epoch,
       isOrphan: !this.#ownership.isSettled,
+      isStandby: this.#isStandby,
     });
     if (purpose !== undefined)
       await this.#link.sync(purpose, REPORT_TIMEOUT_MS);
@@ -169,17 +191,21 @@
     // Counted, so that the budget is not forgotten while the store answers.
     this.#calls += 1;
     try {
-      await this.#becomeOwner();
+      await this.#succession.becomeOwner();
     } finally {
       this.#calls -= 1;
     }
     return this.#ownership.isSettled;
   }
 
+  /** Whether this node keeps a reserve of the budget without work of its own. */
+  standBy(isStandby: boolean): void {
+    this.#isStandby = isStandby;
+  }
+
   /** Hands everything back, and the ownership on. */
   async leave(): Promise<void> {
-    const owner = this.#owner;
-    if (owner !== undefined) await this.#handOn(owner);
+    await this.#succession.handOn();
     // The first message may only move the share to the next owner.
     for (let attempt = 0; attempt < MAX_LEAVE_ATTEMPTS; attempt++) {
       if (this.#owner !== undefined || isNoShare(this.#holder.share)) return;
@@ -187,14 +213,6 @@
     }
   }
 
-  /** Gives back at once what was lent for the statements just admitted. */
-  #returnExcess(): void {
-    const {share, tokens, hasExcess} = this.#holder;
-    const isLent = share.rate === 0 && share.burst > 0 && hasExcess;
-    if (!isLent || tokens >= 1 || this.#waiting > 0) return;
-    void this.#link.sync('report', REPORT_TIMEOUT_MS);
-  }
-
   get #owner(): TeamOwner | undefined {
     return this.#role.owner;
   }
@@ -203,60 +221,30 @@
     return this.#deps.config.limits(this.#deps.team) ?? NO_LIMITS;
   }
 
+  #canAsk(): boolean {
+    return this.#deps.guard.maySpend() && this.#limits().burst >= 1;
+  }
+
   #trySpend(): boolean {
     return this.#owner?.trySpend() ?? this.#holder.trySpend();
   }
 
   #refusal(): Admission {
-    if (!this.#deps.guard.maySpend()) {
-      return refusal('unavailable', NO_STANDING_RETRY_MS);
-    }
-    if (this.#limits().burst < 1) {
-      return refusal('overRate', MAX_RETRY_MS);
-    }
-    const dueMs = this.#msUntilToken();
-    const boundedMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, dueMs));
-    const isKnown = this.#owner !== undefined || this.#schedule.isAnswered;
-    return refusal(isKnown ? 'overRate' : 'unavailable', Math.ceil(boundedMs));
-  }
-
-  #msUntilToken(): number {
-    const owner = this.#owner;
-    if (owner === undefined) {
-      const ownerMs = this.#schedule.msUntilOwnerHasToken();
-      return Math.min(this.#holder.msUntilToken(), ownerMs);
-    }
-    const poolMs = owner.msUntilToken();
-    return poolMs === Infinity ? 1_000 / this.#limits().rate : poolMs;
-  }
-
-  /** Waits for one ask, together with all statements that wait for it. */
-  async #replenish(deadlineMs: number): Promise<void> {
-    const {clock} = this.#deps;
-    const waitMs = Math.min(ASK_TIMEOUT_MS, deadlineMs - clock.now());
-    if (waitMs <= 0) return;
-    this.#waiting += 1;
-    const done = new AbortController();
-    const asked = this.#ask(ASK_TIMEOUT_MS).finally(() => done.abort());
-    await Promise.race([asked, clock.sleep(waitMs, done.signal)]);
-    this.#waiting -= 1;
-  }
-
-  async #ask(timeoutMs: number): Promise<void> {
-    if (this.#owner !== undefined) return this.#owner.recallTokens(1);
-    // The message under way may not count this statement.
-    await this.#link.settled();
-    const isServed = this.#holder.tokens >= this.#waiting;
-    if (isServed || !this.#schedule.mayAsk()) return;
-    await this.#link.sync('ask', timeoutMs);
+    return createRefusal({
+      maySpend: this.#deps.guard.maySpend(),
+      limits: this.#limits(),
+      owner: this.#owner,
+      holder: this.#holder,
+      schedule: this.#schedule,
+    });
   }
 
   async #serve(sync: SyncMessage): Promise<BudgetReply> {
     if (this.#deps.guard.isCutOff) return {kind: 'busy'};
     const outdated = sync.knownEpoch > this.#ownership.epoch;
     if (outdated) await this.#ownership.reload();
-    this.#stepDownIfSucceeded();
-    if (this.#owner === undefined) await this.#becomeOwner();
+    this.#succession.stepDownIfSucceeded();
+    if (this.#owner === undefined) await this.#succession.becomeOwner();
     // What a holder tells a later owner is not counted by an earlier one.
     const isUpToDate = (this.#owner?.epoch ?? 0) >= sync.knownEpoch;
     if (this.#owner !== undefined && isUpToDate) return this.#owner.serve(sync);
@@ -264,8 +252,16 @@
     return {kind: 'notOwner', epoch, owner};
   }
 
+  #spendForOther(count: number): BudgetReply {
+    const {epoch, owner} = this.#ownership;
+    if (this.#owner !== undefined) return {kind: 'notOwner', epoch, owner};
+    if (this.#succession.isOpening) return {kind: 'busy'};
+    for (let n = 0; n < count; n++) this.#meter.record();
+    return {kind: 'spent', count: this.#holder.spendForOther(count)};
+  }
+
   #giveBack(recall: BudgetMessage & {kind: 'recall'}): BudgetReply {
-    this.#learn(recall.epoch, recall.owner);
+    this.#succession.learn(recall.epoch, recall.owner);
     const isCurrent = recall.epoch === this.#ownership.epoch;
     const canAnswer = isCurrent && this.#owner === undefined;
     if (!canAnswer || this.#holder.isAwaiting) return {kind: 'busy'};
@@ -274,47 +270,6 @@
     return {kind: 'returned', sync};
   }
 
-  #learn(epoch: number, owner: string | undefined): void {
-    this.#ownership.learn(epoch, owner);
-    this.#stepDownIfSucceeded();
-  }
-
-  /** Takes the ownership if it is vacant or recorded as this node's. */
-  async #becomeOwner(): Promise<boolean> {
-    const {guard, self} = this.#deps;
-    if (!guard.maySpend()) return false;
-    const isVacant = !this.#ownership.isSettled;
-    const isOurs = this.#ownership.owner === self.instance;
-    if (!isVacant && !isOurs) return false;
-    if (!(await this.#ownership.claim())) return false;
-    const {record} = this.#ownership;
-    if (record === undefined) return false;
-    return this.#role.open(record, () => this.#holder.clear());
-  }
-
-  /** Goes on as a holder of the pool once another node owns the budget. */
-  #stepDownIfSucceeded(): void {
-    const {epoch} = this.#role;
-    if (this.#owner === undefined || this.#ownership.epoch <= epoch) return;
-    const {share, tokens} = this.#role.close();
-    this.#holder.hold(share, tokens, epoch, this.#deps.self.instance);
-  }
-
-  async #handOn(owner: TeamOwner): Promise<void> {
-    const {peers, self, team} = this.#deps;
-    const next = this.#ownership.successor();
-    if (next === undefined || !(await this.#ownership.handOn(next))) return;
-    const {holders} = owner;
-    this.#stepDownIfSucceeded();
-    const {epoch} = this.#ownership;
-    const moved = {kind: 'moved', team, epoch, owner: next} as const;
-    await Promise.allSettled(
-      holders
-        .filter(holder => holder !== self.instance)
-        .map(holder => peers.call(holder, moved, REPORT_TIMEOUT_MS)),
-    );
-  }
-
   #context(purpose: SyncPurpose = 'report'): SyncContext {
     return {
       team: this.#deps.team,
@@ -322,14 +277,7 @@
       seq: this.#deps.nextSeq(),
       knownEpoch: this.#ownership.epoch,
       demand: purpose === 'release' ? 0 : this.#meter.perSecond,
-      waiting: this.#waiting,
+      waiting: this.#supply.waiting,
     };
   }
 }
-
-function refusal(
-  reason: (Admission & {kind: 'refused'})['reason'],
-  retryAfterMs: number,
-): Admission {
-  return {kind: 'refused', reason, retryAfterMs};
-}
--- a/src/admission/team-holder.ts
+++ b/src/admission/team-holder.ts
@@ -10,8 +10,9 @@
   tokensIn,
   unitsFor,
 } from './share.js';
+import {RemoteSpends} from './remote-spends.js';
 import type {SpendGuard} from './spend-guard.js';
-import {TokenBucket} from './token-bucket.js';
+import {TokenBucket, type BucketSize} from './token-bucket.js';
 import type {
   BudgetLimits,
   GrantReply,
@@ -25,7 +26,12 @@
 const KEEP_AHEAD_S = 0.1;
 
 /** Why a holder writes to the owner. */
-export type SyncPurpose = 'ask' | 'report' | 'release';
+export type SyncPurpose =
+  | 'ask'
+  | 'report'
+  | 'release'
+  /** Gives up nothing: the owner may be gone, and what it is sent lost. */
+  | 'check';
 
 /** What a message says besides the holdings. */
 export interface SyncContext {
@@ -40,6 +46,7 @@
 /** A holder's share and its tokens. Gives up first, then tells the owner. */
 export class TeamHolder {
   readonly #guard: SpendGuard;
+  readonly #remoteSpends: RemoteSpends;
   readonly #limits: () => BudgetLimits;
   readonly #bucket: TokenBucket;
   #share: Share = NO_SHARE;
@@ -51,6 +58,7 @@
 
   constructor(clock: Clock, guard: SpendGuard, limits: () => BudgetLimits) {
     this.#guard = guard;
+    this.#remoteSpends = new RemoteSpends(clock);
     this.#limits = limits;
     this.#bucket = new TokenBucket(clock, {rate: 0, burst: 0}, 0);
   }
@@ -105,15 +113,25 @@
    */
   refresh(): void {
     this.#expireOrphan();
-    const size = bucketSizeOf(
-      this.#share,
-      this.#limits(),
-      this.#guard.clockErrorRatio,
-    );
+    const size = this.#bucketSize();
     const {rate, burst} = this.#bucket.size;
     if (rate !== size.rate || burst !== size.burst) this.#bucket.resize(size);
   }
 
+  /** Takes up to `count` tokens for statements of another node. */
+  spendForOther(count: number): number {
+    let spent = 0;
+    while (spent < count && this.trySpend()) spent++;
+    if (spent > 0) this.#remoteSpends.note(spent);
+    this.refresh();
+    return spent;
+  }
+
+  /** Resolves once no token spent for another node is under way. */
+  async remoteSpendsSettled(): Promise<void> {
+    return this.#remoteSpends.settled();
+  }
+
   /** Gives up what the purpose asks for, and says what is left. */
   beginSync(purpose: SyncPurpose, context: SyncContext): SyncMessage {
     const isAdoption = this.#heldEpoch < context.knownEpoch;
@@ -186,8 +204,19 @@
     this.#bucket.add(tokens);
   }
 
+  /** Without the room of tokens that are spent and not yet used. */
+  #bucketSize(): BucketSize {
+    const {rate, burst} = bucketSizeOf(
+      this.#share,
+      this.#limits(),
+      this.#guard.clockErrorRatio,
+    );
+    return {rate, burst: Math.max(0, burst - this.#remoteSpends.underWay)};
+  }
+
   #keptFor(purpose: SyncPurpose): Share {
     const share = this.share;
+    if (purpose === 'check') return share;
     if (purpose === 'release') return NO_SHARE;
     const lowered = minShare(share, this.#target);
     if (purpose === 'report') return lowered;
@@ -198,8 +227,13 @@
   }
 
   /** Tokens that no longer fit go back too, within the room that goes back. */
-  #lowerTo(kept: Share, tokens: number, context: SyncContext): SyncMessage {
+  #lowerTo(
+    wantedShare: Share,
+    tokens: number,
+    context: SyncContext,
+  ): SyncMessage {
     const limits = this.#limits();
+    const kept = this.#withSpentRoom(wantedShare, limits);
     const over = this.tokens - tokensIn(kept.burst, limits);
     const room = tokensIn(subtractShares(this.#share, kept).burst, limits);
     const wanted = Math.min(room, Math.max(over, tokens));
@@ -218,6 +252,13 @@
     };
   }
 
+  /** The room of tokens that are not used yet can't be given up either. */
+  #withSpentRoom(share: Share, limits: BudgetLimits): Share {
+    const spent = unitsFor(this.#remoteSpends.underWay, limits);
+    const burst = Math.max(share.burst, Math.min(this.#share.burst, spent));
+    return {rate: share.rate, burst};
+  }
+
   #expireOrphan(): void {
     if (this.#grantor === undefined || this.#guard.isCutOff) return;
     const nowMs = this.#guard.nowMs;
--- a/src/admission/team-owner.ts
+++ b/src/admission/team-owner.ts
@@ -6,14 +6,22 @@
   isOverloaded,
   OVERLOAD_PAUSE_MS,
   ownerShare,
+  reserveShare,
   roomFor,
   targetShare,
   tokensToGrant,
 } from './allocation.js';
+import {budgetKey} from './budget-record.js';
 import {DemandTable} from './demand-table.js';
 import type {Ledger} from './ledger.js';
 import {Recalls} from './recalls.js';
-import {bucketSizeOf, isNoShare, tokensIn} from './share.js';
+import {
+  addShares,
+  bucketSizeOf,
+  isNoShare,
+  maxShare,
+  tokensIn,
+} from './share.js';
 import type {SpendGuard} from './spend-guard.js';
 import {TokenBucket} from './token-bucket.js';
 import type {
@@ -219,11 +227,21 @@
   }
 
   #targetOf(holder: string): Share {
-    return targetShare(
-      this.#demands.demandOf(holder),
-      this.#totalDemand(),
-      this.#deps.limits(),
-    );
+    const limits = this.#deps.limits();
+    const demand = this.#demands.demandOf(holder);
+    const target = targetShare(demand, this.#totalDemand(), limits);
+    if (holder !== this.#standby()) return target;
+    const pool = this.#ledger.pool;
+    const here = addShares(pool, this.#ledger.shareOf(holder));
+    return maxShare(target, reserveShare(here, limits));
+  }
+
+  /** The node that keeps a reserve: the first choice besides this one. */
+  #standby(): string | undefined {
+    const {peers, self, team} = this.#deps;
+    return peers
+      .homeOrder(budgetKey(team))
+      .find(({instance}) => instance !== self)?.instance;
   }
 
   #totalDemand(): number {
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -112,8 +112,20 @@
   readonly owner: string;
 }
 
+/**
+ * A node that can't ask the owner has another one spend tokens of its share
+ * for statements that wait here. The answer holds for `SPEND_VALID_MS`.
+ */
+export interface SpendMessage {
+  readonly kind: 'spend';
+  readonly team: string;
+  /** Statements that wait. */
+  readonly count: number;
+}
+
 /** A call of the peer method `budget`. */
-export type BudgetMessage = SyncMessage | RecallMessage | MovedMessage;
+export type BudgetMessage =
+  SyncMessage | RecallMessage | MovedMessage | SpendMessage;
 
 /** The owner's answer to a sync. */
 export interface GrantReply {
@@ -150,7 +162,9 @@
   | {readonly kind: 'returned'; readonly sync: SyncMessage}
   /** The holder awaits an answer and gives nothing back now. */
   | {readonly kind: 'busy'}
-  | {readonly kind: 'accepted'};
+  | {readonly kind: 'accepted'}
+  /** The answer to a spend: for how many of the statements. */
+  | {readonly kind: 'spent'; readonly count: number};
 
 /** Whether a statement may run. */
 export type Admission =
--- a/src/node/create-budgets.ts
+++ b/src/node/create-budgets.ts
@@ -34,9 +34,9 @@
   return new RenewableBudgets({
     deps,
     log: ctx.log,
-    ownTeams: () =>
+    teamsByChoice: choice =>
       [...ctx.config.document.table.teams.keys()].filter(
-        team => members.homeOrder(budgetKey(team))[0]?.id === vm,
+        team => members.homeOrder(budgetKey(team))[choice]?.id === vm,
       ),
   });
 }
--- a/src/node/renewable-budgets.ts
+++ b/src/node/renewable-budgets.ts
@@ -14,8 +14,11 @@
 export interface RenewableBudgetsOptions {
   readonly deps: BudgetDeps;
   readonly log: Logger;
-  /** The teams of the table in force for which this node is first choice. */
-  readonly ownTeams: () => readonly string[];
+  /**
+   * The teams of the table in force for which this node is the first choice
+   * (0), or the second (1).
+   */
+  readonly teamsByChoice: (choice: 0 | 1) => readonly string[];
 }
 
 const PREPARE_PERIOD_MS = 500;
@@ -73,7 +76,9 @@
 
   /** Takes up the budgets that this node should own, if they are vacant. */
   prepare(): Promise<void> {
-    return this.#service.prepare(this.#options.ownTeams());
+    const {teamsByChoice} = this.#options;
+    this.#service.standBy(teamsByChoice(1));
+    return this.#service.prepare(teamsByChoice(0));
   }
 
   /** The table and the list of VMs change, so this is repeated. */
--- /dev/null
+++ b/test/admission/lost-owner.test.ts
@@ -0,0 +1,99 @@
+import {expect, test} from 'vitest';
+import type {BudgetService} from '../../src/admission/budget-service.js';
+import {Cluster, type ClusterNode} from './cluster.js';
+import {worstExcess} from './law.js';
+
+const TEAM = 'assessors';
+const LIMITS = {rate: 40, burst: 20};
+const CONFIG_LAG_MS = 3_200;
+/** Longer than a holder without work keeps its share. */
+const IDLE_MS = 8_000;
+
+/** A cluster whose first node owns the budget. */
+async function createCluster(): Promise<Cluster> {
+  const cluster = new Cluster({nodes: 3, seed: 1, limits: {[TEAM]: LIMITS}});
+  cluster.preferOwner(cluster.nodes[0]!);
+  const prepared = serviceOf(cluster, 0).prepare([TEAM]);
+  await cluster.time.advance(500);
+  await prepared;
+  return cluster;
+}
+
+function serviceOf(cluster: Cluster, index: number): BudgetService {
+  return cluster.services.get(cluster.nodes[index]!.ref.instance)!;
+}
+
+/** Has work at every node until now. */
+async function warm(cluster: Cluster): Promise<void> {
+  cluster.offer(TEAM, 30, cluster.time.now() + 4_000, () => anyOf(cluster));
+  await cluster.time.advance(4_000);
+}
+
+function anyOf(cluster: Cluster): ClusterNode {
+  const {alive, random} = cluster;
+  return alive[Math.floor(random.next() * alive.length)]!;
+}
+
+async function loseOwner(cluster: Cluster): Promise<void> {
+  cluster.store.isDown = true;
+  cluster.kill(cluster.nodes[0]!);
+  await cluster.time.advance(50);
+}
+
+/** Statements admitted of those offered at `node`, ten a second. */
+async function admittedAt(
+  cluster: Cluster,
+  node: ClusterNode,
+  offered: number,
+): Promise<number> {
+  const before = cluster.decisions.length;
+  for (let n = 0; n < offered; n++) {
+    void cluster.admit(node, TEAM);
+    await cluster.time.advance(100);
+  }
+  return cluster.decisions
+    .slice(before)
+    .filter(one => one.retryAfterMs === undefined).length;
+}
+
+function excessOf(cluster: Cluster): number {
+  const admitted = cluster.decisions
+    .filter(decision => decision.retryAfterMs === undefined)
+    .map(decision => decision.atMs);
+  const inForce = [{atMs: 0, limits: LIMITS}];
+  return worstExcess(admitted, inForce, CONFIG_LAG_MS);
+}
+
+test('a node started in the owner’s place in a store outage is served by other holders', async () => {
+  const cluster = await createCluster();
+  await warm(cluster);
+  await loseOwner(cluster);
+  const fresh = cluster.startNode('vm0', 0);
+  await cluster.time.advance(1_000);
+  expect(await admittedAt(cluster, fresh, 50)).toBeGreaterThanOrEqual(45);
+  expect(excessOf(cluster)).toBe(0);
+});
+
+test('idle holders keep what a lost owner could not take back', async () => {
+  const cluster = await createCluster();
+  await warm(cluster);
+  await loseOwner(cluster);
+  await cluster.time.advance(IDLE_MS);
+  for (const node of cluster.alive) {
+    expect(await admittedAt(cluster, node, 50)).toBeGreaterThanOrEqual(45);
+  }
+  expect(excessOf(cluster)).toBe(0);
+});
+
+test('a reserve of a budget without work outlives its owner', async () => {
+  const cluster = await createCluster();
+  // Whichever of the others the owner takes for its standby.
+  serviceOf(cluster, 1).standBy([TEAM]);
+  serviceOf(cluster, 2).standBy([TEAM]);
+  await cluster.time.advance(IDLE_MS);
+  await loseOwner(cluster);
+  for (const node of cluster.alive) {
+    expect(await admittedAt(cluster, node, 30)).toBeGreaterThanOrEqual(25);
+  }
+  expect(excessOf(cluster)).toBe(0);
+});
--- a/test/admission/schedule.ts
+++ b/test/admission/schedule.ts
@@ -100,6 +100,7 @@
     },
   });
   cluster.store.loseEveryNthAnswer(3);
+  for (const service of cluster.services.values()) service.standBy([TEAM]);
   const changes: LimitsChange[] = [{atMs: 0, limits: FIRST_LIMITS}];
   let favourite = 0;
   for (const event of schedule.events) {
--- a/test/admission/team-holder.test.ts
+++ b/test/admission/team-holder.test.ts
@@ -1,5 +1,6 @@
 import {expect, test} from 'vitest';
-import {NO_SHARE, WHOLE} from '../../src/admission/share.js';
+import {SPEND_VALID_MS} from '../../src/admission/remote-spends.js';
+import {NO_SHARE, tokensIn, WHOLE} from '../../src/admission/share.js';
 import {SpendGuard} from '../../src/admission/spend-guard.js';
 import {TeamHolder} from '../../src/admission/team-holder.js';
 import type {GrantReply, Share, Standing} from '../../src/admission/types.js';
@@ -115,3 +116,28 @@
   expect(holder.trySpend()).toBe(false);
   expect(holder.share).toEqual(NO_SHARE);
 });
+
+test('keeps room for tokens that another node may still use', () => {
+  const {clock, holder} = createHolder();
+  holder.beginSync('ask', {...CONTEXT, seq: 1});
+  holder.accept(createGrant({tokens: 25}), 2);
+  expect(holder.spendForOther(10)).toBe(10);
+  clock.advance(SPEND_VALID_MS);
+  // Half the rate would have filled 5 of the 10 by now.
+  expect(holder.tokens).toBe(15);
+  const released = holder.beginSync('release', {...CONTEXT, seq: 2});
+  expect(tokensIn(released.held.burst, LIMITS)).toBeCloseTo(10);
+  clock.advance(SPEND_VALID_MS);
+  expect(holder.beginSync('release', {...CONTEXT, seq: 3}).held).toEqual(
+    NO_SHARE,
+  );
+});
+
+test('spends no more for another node than it holds', () => {
+  const {holder, state} = createHolder();
+  holder.beginSync('ask', {...CONTEXT, seq: 1});
+  holder.accept(createGrant({tokens: 5}), 2);
+  expect(holder.spendForOther(8)).toBe(5);
+  state.standing = 'cutOff';
+  expect(holder.spendForOther(1)).toBe(0);
+});
