--- a/src/callers/caller-session.ts
+++ b/src/callers/caller-session.ts
@@ -1,46 +1,21 @@
 /** One caller's session: a task that reads, runs and answers, in order. */
 import type {Duplex} from 'node:stream';
-import {toErrorFields} from '../verdict/sqlstate.js';
-import {notRun, type Verdict} from '../verdict/verdict.js';
-import {
-  classificationOf,
-  type Classification,
-  type Statement,
-} from '../routing/statement.js';
-import {BatchBuilder, ParseFilter} from './batch.js';
+import {classificationOf, type Classification} from '../routing/statement.js';
+import {BatchCollector} from './batch-collector.js';
+import {ParseFilter} from './batch.js';
 import {BodyReader} from './body-reader.js';
 import {endSocket} from './end-socket.js';
-import {
-  commandComplete,
-  emptyQueryResponse,
-  errorResponse,
-  parameterStatus,
-  readyForQuery,
-  singleValue,
-  type ErrorFields,
-} from './messages.js';
-import {
-  SessionParameters,
-  TOKEN_PARAMETER,
-  type ParameterFault,
-} from './session-parameters.js';
+import {GroupAnswers} from './group-answers.js';
+import {LocalAnswers} from './local-answers.js';
+import {errorResponse, readyForQuery, type ErrorFields} from './messages.js';
 import {SessionOutput} from './session-output.js';
+import type {SessionParameters} from './session-parameters.js';
 import {ProtocolError, type Frame, type SocketReader} from './socket-reader.js';
-import {
-  isEnd,
-  isRestart,
-  rollbackAnswer,
-  TRANSACTION_ABORTED,
-} from './broken-transaction.js';
 import {StatementRunner, type RunRequest} from './statement-runner.js';
 import type {Authority, SessionDeps} from './types.js';
 
 /** Bytes of one message from a caller at most. */
 export const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
-const BATCH_TYPES: ReadonlySet<string> = new Set(['P', 'B', 'D', 'C', 'E']);
-const UNSUPPORTED = '0A000';
-/** A batch of nothing but Sync. */
-const SYNC_BYTES = 5;
 
 /** Where a session reads and writes. */
 export interface SessionChannel {
@@ -53,16 +28,13 @@
   readonly #channel: SessionChannel;
   readonly #deps: SessionDeps;
   readonly #authority: Authority;
-  readonly #parameters: SessionParameters;
   readonly #runner: StatementRunner;
-  readonly #gone = new AbortController();
   readonly #output: SessionOutput;
-  #batch = new BatchBuilder();
-  /** Set while the rest of a faulty batch is skipped up to its Sync. */
-  #skipping = false;
+  readonly #local: LocalAnswers;
+  readonly #group: GroupAnswers;
+  readonly #batch = new BatchCollector();
+  readonly #gone = new AbortController();
   #busy = false;
-  /** Whether the proxy itself refused something in this cycle. */
-  #refused = false;
   #closing: ErrorFields | undefined;
 
   constructor(
@@ -72,11 +44,15 @@
     parameters: SessionParameters,
   ) {
     this.#channel = channel;
-    this.#output = new SessionOutput(channel.socket);
     this.#deps = deps;
     this.#authority = authority;
-    this.#parameters = parameters;
-    this.#runner = new StatementRunner(deps, authority, parameters);
+    const output = new SessionOutput(channel.socket);
+    const runner = new StatementRunner(deps, authority, parameters);
+    const {signer} = deps;
+    this.#output = output;
+    this.#runner = runner;
+    this.#local = new LocalAnswers(output, parameters);
+    this.#group = new GroupAnswers({output, parameters, runner, signer});
     channel.socket.on('close', () => this.#gone.abort());
   }
 
@@ -87,7 +63,7 @@
   /** Serves the session until it ends. */
   async run(): Promise<void> {
     try {
-      this.#write(readyForQuery('idle'));
+      this.#output.add(readyForQuery('idle'));
       this.#output.flush();
       while (await this.#serveNext());
     } catch (err) {
@@ -148,40 +124,16 @@
   async #serve(frame: Frame): Promise<void> {
     if (frame.type === 'Q') return this.#serveQuery(frame);
     if (frame.type === 'S') return this.#serveSync();
-    if (this.#skipping) return;
-    if (BATCH_TYPES.has(frame.type)) return this.#collect(frame);
-    if (frame.type === 'H') {
-      return this.#failBatch(UNSUPPORTED, 'Flush is not served; send Sync');
-    }
-    if (frame.type === 'F') {
-      return this.#failBatch(UNSUPPORTED, 'function calls are not served');
-    }
-    throw new ProtocolError(`message type '${frame.type}' is not known`);
-  }
-
-  #collect(frame: Frame): void {
-    try {
-      this.#batch.add(frame);
-    } catch (err) {
-      if (!(err instanceof ProtocolError)) throw err;
-      this.#failBatch(err.sqlstate, err.message);
-    }
-  }
-
-  #failBatch(sqlstate: string, message: string): void {
-    this.#batch.finish();
-    this.#skipping = true;
-    this.#refuse({severity: 'ERROR', sqlstate, message});
+    const fault = this.#batch.add(frame);
+    if (fault !== undefined) this.#local.refuse({severity: 'ERROR', ...fault});
   }
 
   async #serveQuery(frame: Frame): Promise<void> {
     const arrivedAt = this.#deps.clock.now();
     const sql = new BodyReader(frame.body).cstring();
     const classification = await this.#deps.classifier.classify(sql);
-    const {strictest} = classification;
-    if (strictest.kind === 'empty') this.#write(emptyQueryResponse());
-    else if (!this.#answerLocally(strictest)) {
-      await this.#execute({
+    if (!this.#local.answer(classification.strictest)) {
+      await this.#run({
         frames: frame.bytes,
         classification,
         statements: classification.statements.length,
@@ -196,36 +148,22 @@
   async #serveSync(): Promise<void> {
     const arrivedAt = this.#deps.clock.now();
     const batch = this.#batch.finish();
-    const skipped = this.#skipping;
-    this.#skipping = false;
-    if (!skipped && batch.frames.length > SYNC_BYTES) {
-      const classification = await this.#classifyAll(batch.statements);
-      const {strictest} = classification;
-      if (!this.#refuseLocal(strictest)) {
-        const filter = new ParseFilter(batch.wantedParses);
-        await this.#execute({
-          frames: batch.frames,
-          classification,
-          statements: batch.executes,
-          arrivedAt,
-          sink: frames => this.#output.pass(filter.filter(Buffer.from(frames))),
-          signal: this.#gone.signal,
-        });
-      }
+    if (batch === undefined) return this.#endCycle();
+    const classification = await this.#classifyAll(batch.statements);
+    if (!this.#local.refuseUnserved(classification.strictest)) {
+      const filter = new ParseFilter(batch.wantedParses);
+      await this.#run({
+        frames: batch.frames,
+        classification,
+        statements: batch.executes,
+        arrivedAt,
+        sink: frames => this.#output.pass(filter.filter(Buffer.from(frames))),
+        signal: this.#gone.signal,
+      });
     }
     this.#endCycle();
   }
 
-  /** An error fails an open transaction, also one that no database made. */
-  #endCycle(): void {
-    const {transaction, isBroken} = this.#runner;
-    if (this.#refused && transaction !== 'idle' && !isBroken) {
-      this.#runner.breakTransaction();
-    }
-    this.#refused = false;
-    this.#write(readyForQuery(this.#runner.transaction));
-  }
-
   async #classifyAll(texts: readonly string[]): Promise<Classification> {
     const found = await Promise.all(
       [...new Set(texts)].map(sql => this.#deps.classifier.classify(sql)),
@@ -233,94 +171,22 @@
     return classificationOf(found.flatMap(({statements}) => statements));
   }
 
-  async #execute(req: RunRequest): Promise<void> {
-    if (this.#runner.isBroken && !isRestart(req.classification)) {
-      return this.#answerBroken(req);
-    }
-    if (this.#runner.isBroken) this.#runner.endBroken();
-    const before = this.#parameters.token;
-    const result = await this.#runner.run(req);
-    if (result.verdict.kind !== 'done')
-      return this.#writeVerdict(result.verdict);
-    const wrote = req.classification.strictest.kind !== 'read';
-    if (wrote && this.#parameters.token !== before) {
-      const text = this.#parameters.token.encode(this.#deps.signer);
-      this.#write(parameterStatus(TOKEN_PARAMETER, text));
-    }
+  async #run(req: RunRequest): Promise<void> {
+    const fatal = await this.#group.run(req);
+    this.#closing ??= fatal;
   }
 
-  /** Answers for a transaction that is rolled back already. */
-  async #answerBroken(req: RunRequest): Promise<void> {
-    if (!isEnd(req.classification)) {
-      return this.#writeError(TRANSACTION_ABORTED);
-    }
-    this.#runner.endBroken();
-    await req.sink(rollbackAnswer(req.frames));
-  }
-
-  #writeVerdict(verdict: Verdict): void {
-    if (verdict.kind === 'done') return;
-    const fields = toErrorFields(verdict);
-    this.#writeError({...fields, severity: 'ERROR'});
-    if (fields.severity === 'FATAL') this.#closing ??= fields;
-  }
-
-  /** Answers what no database needs to see; false if one does. */
-  #answerLocally(statement: Statement): boolean {
-    if (statement.kind === 'set') {
-      this.#answerSet(this.#parameters.set(statement.name, statement.value));
-      return true;
-    }
-    if (statement.kind === 'show') {
-      this.#answerShow(statement.name);
-      return true;
-    }
-    return this.#refuseLocal(statement);
-  }
-
-  #answerSet(fault: ParameterFault | undefined): void {
-    if (fault === undefined) this.#write(commandComplete('SET'));
-    else this.#refuse({severity: 'ERROR', ...fault});
-  }
-
-  #answerShow(name: string): void {
-    const value = this.#parameters.show(name);
-    if (typeof value !== 'string') {
-      return this.#refuse({severity: 'ERROR', ...value});
-    }
-    this.#write(singleValue(name, value));
-    this.#write(commandComplete('SHOW'));
-  }
-
-  /** Refuses what is not served; true if it was refused. */
-  #refuseLocal(statement: Statement): boolean {
-    if (statement.kind === 'unsupported') {
-      this.#refuse(toErrorFields(notRun('unsupported', statement.message)));
-      return true;
-    }
-    if (statement.kind === 'invalid') {
-      const {sqlstate, message} = statement;
-      this.#refuse({severity: 'ERROR', sqlstate, message});
-      return true;
-    }
-    if (statement.kind === 'set' || statement.kind === 'show') {
-      const message = `send ${statement.kind.toUpperCase()} as a simple query`;
-      this.#refuse(toErrorFields(notRun('unsupported', message)));
-      return true;
+  /** An error fails an open transaction, also one that no database made. */
+  #endCycle(): void {
+    const {transaction, isBroken} = this.#runner;
+    const refused = this.#local.takeRefused();
+    if (refused && transaction !== 'idle' && !isBroken) {
+      this.#runner.breakTransaction();
     }
-    return false;
-  }
-
-  #write(message: Uint8Array): void {
-    this.#output.add(message);
-  }
-
-  #refuse(fields: ErrorFields): void {
-    this.#refused = true;
-    this.#writeError(fields);
+    this.#output.add(readyForQuery(this.#runner.transaction));
   }
 
   #writeError(fields: ErrorFields): void {
-    this.#write(errorResponse(fields));
+    this.#output.add(errorResponse(fields));
   }
 }
