--- a/src/peers/peer-link.ts
+++ b/src/peers/peer-link.ts
@@ -1,25 +1,18 @@
 /** One outgoing connection to one node. */
 
-import {connect, type Socket} from 'node:net';
+import {connect} from 'node:net';
 import type {Clock} from '../platform/clock.js';
-import {FrameDecoder} from './framing.js';
-import {FrameWriter} from './frame-writer.js';
 import {
   createNonce,
   createProof,
-  HANDSHAKE_MAX_FRAME_BYTES,
   HandshakeError,
   isValidProof,
 } from './handshake.js';
-import {
-  expectMessage,
-  readMessages,
-  type ReceivedMessage,
-} from './message-stream.js';
+import {expectMessage, type ReceivedMessage} from './message-stream.js';
 import {PROTOCOL_VERSION, ProtocolError} from './messages.js';
+import {PeerChannel} from './peer-channel.js';
 import {PendingCall} from './pending-call.js';
-import {resolveLogEvent, type PeerLog} from './peer-log.js';
-import {SilenceMonitor} from './silence-monitor.js';
+import type {PeerLog} from './peer-log.js';
 import {PeerError, type CallOptions, type PeerAddress} from './types.js';
 
 /** What a link needs. */
@@ -38,12 +31,8 @@
 /** A connection over which calls run concurrently. */
 export class PeerLink {
   readonly #options: PeerLinkOptions;
-  readonly #socket: Socket;
-  readonly #decoder = new FrameDecoder(HANDSHAKE_MAX_FRAME_BYTES);
-  readonly #writer: FrameWriter;
-  readonly #monitor: SilenceMonitor;
+  readonly #channel: PeerChannel;
   readonly #calls = new Map<number, PendingCall>();
-  readonly #closed = new AbortController();
   #nextId = 1;
   #draining = false;
   #lastUsedMs: number;
@@ -51,16 +40,16 @@
 
   private constructor(options: PeerLinkOptions) {
     this.#options = options;
-    const {host, port} = options.peer;
-    this.#socket = connect({host, port, noDelay: true});
-    this.#socket.on('error', () => {});
-    this.#writer = new FrameWriter(this.#socket, options.maxFrameBytes);
     this.#lastUsedMs = options.clock.now();
-    this.#monitor = new SilenceMonitor({
+    const {host, port, id} = options.peer;
+    this.#channel = new PeerChannel(connect({host, port, noDelay: true}), {
       clock: options.clock,
-      writer: this.#writer,
+      maxFrameBytes: options.maxFrameBytes,
+      log: options.log,
+      peer: id,
       sendsHeartbeats: true,
-      onSilent: () => this.#onSilent(),
+      afterSilence: 'the next call connects again',
+      onClose: reason => this.#failAll(reason),
     });
   }
 
@@ -79,7 +68,7 @@
 
   /** Whether new calls may be sent. */
   get usable(): boolean {
-    return !this.#closed.signal.aborted && !this.#draining;
+    return !this.#channel.isClosed && !this.#draining;
   }
 
   /** Calls that wait for their answer. */
@@ -118,7 +107,7 @@
     this.#lastUsedMs = this.#options.clock.now();
     this.#sendRequest(id, method, body);
     const call = new PendingCall(id, options, this.#options.clock, message =>
-      this.#writer.write(message),
+      this.#channel.writer.write(message),
     );
     this.#calls.set(id, call);
     try {
@@ -137,9 +126,10 @@
 
   /** Closes the connection; waiting calls fail with `lost`. */
   close(reason = 'connection closed by this node'): void {
-    if (this.#closed.signal.aborted) return;
-    this.#closed.abort();
-    this.#socket.destroy();
+    this.#channel.close(reason);
+  }
+
+  #failAll(reason: string): void {
     const err = new PeerError('lost', `${this.peer.id}: ${reason}`);
     for (const call of this.#calls.values()) call.fail(err);
   }
@@ -147,7 +137,7 @@
   #sendRequest(id: number, method: string, body: unknown): void {
     let sentBytes = 0;
     try {
-      sentBytes = this.#writer.write({kind: 'req', id, method, body});
+      sentBytes = this.#channel.writer.write({kind: 'req', id, method, body});
     } catch (err) {
       throw new PeerError('notSent', `can't encode ${method}: ${String(err)}`);
     }
@@ -156,36 +146,28 @@
   }
 
   async #open(): Promise<void> {
-    const {clock, connectTimeoutMs, peer} = this.#options;
-    const opened = new AbortController();
-    void clock.sleep(connectTimeoutMs, opened.signal).then(() => {
-      if (!opened.signal.aborted) this.close('connect timed out');
-    });
-    const messages = readMessages(this.#socket, this.#decoder, () =>
-      this.#monitor.noteReceived(),
-    );
+    const {connectTimeoutMs, peer} = this.#options;
+    const limit = {timeoutMs: connectTimeoutMs, reason: 'connect timed out'};
     try {
-      await this.#shakeHands(messages);
+      await this.#channel.open(limit, () => this.#shakeHands());
     } catch (err) {
-      this.#logEnd(err);
+      this.#channel.logEnd(err);
       this.close('connect failed');
       throw new PeerError(
         'notSent',
         `can't connect to ${peer.id} at ${peer.host}:${peer.port}: ${String(err)}`,
       );
-    } finally {
-      opened.abort();
     }
-    void this.#monitor.run(this.#closed.signal);
-    void this.#receive(messages);
+    void this.#receive();
   }
 
-  async #shakeHands(messages: AsyncGenerator<ReceivedMessage>): Promise<void> {
+  async #shakeHands(): Promise<void> {
+    const {messages, writer} = this.#channel;
     const {self, peer, peerSecret} = this.#options;
     const {nonce: serverNonce} = await expectMessage(messages, 'challenge');
     const clientNonce = createNonce();
     const nonces = {serverNonce, clientNonce};
-    this.#writer.write({
+    writer.write({
       kind: 'hello',
       version: PROTOCOL_VERSION,
       from: self,
@@ -200,15 +182,15 @@
     if (!isValidProof(peerSecret, input, welcome.proof)) {
       throw new HandshakeError(`${peer.id} does not know the peer secret`);
     }
-    this.#decoder.setMaxFrameBytes(this.#options.maxFrameBytes);
   }
 
-  async #receive(messages: AsyncGenerator<ReceivedMessage>): Promise<void> {
+  async #receive(): Promise<void> {
+    const {messages} = this.#channel;
     try {
       for await (const received of messages) this.#onMessage(received);
       this.close('connection ended by the other node');
     } catch (err) {
-      this.#logEnd(err);
+      this.#channel.logEnd(err);
       this.close(`connection lost: ${String(err)}`);
     }
   }
@@ -239,21 +221,6 @@
   }
 
   #endIfDone(): void {
-    if (this.#draining && this.#calls.size === 0) this.#socket.end();
-  }
-
-  #onSilent(): void {
-    this.#options.log({
-      event: 'peer-connection-silent',
-      peer: this.peer.id,
-      detail: 'closed; the next call connects again',
-    });
-    this.close('connection went silent');
-  }
-
-  #logEnd(err: unknown): void {
-    if (this.#closed.signal.aborted) return;
-    const event = resolveLogEvent(err);
-    this.#options.log({event, peer: this.peer.id, detail: String(err)});
+    if (this.#draining && this.#calls.size === 0) this.#channel.end();
   }
 }
--- a/src/peers/server-connection.ts
+++ b/src/peers/server-connection.ts
@@ -2,33 +2,26 @@
 
 import type {Socket} from 'node:net';
 import type {Clock} from '../platform/clock.js';
-import {FrameDecoder} from './framing.js';
-import {FrameWriter} from './frame-writer.js';
 import {
   createNonce,
   createProof,
-  HANDSHAKE_MAX_FRAME_BYTES,
   HandshakeError,
   isValidProof,
 } from './handshake.js';
-import {
-  expectMessage,
-  readMessages,
-  type ReceivedMessage,
-} from './message-stream.js';
+import {expectMessage} from './message-stream.js';
 import {
   PROTOCOL_VERSION,
   ProtocolError,
   type PeerMessage,
   type RequestMessage,
 } from './messages.js';
-import {resolveLogEvent, type PeerLog} from './peer-log.js';
+import {PeerChannel} from './peer-channel.js';
+import type {PeerLog} from './peer-log.js';
 import {RunningCall} from './running-call.js';
-import {SilenceMonitor} from './silence-monitor.js';
 import type {PeerHandler} from './types.js';
 
 /** How long a stranger may take to prove itself. */
-const HANDSHAKE_TIMEOUT_MS = 2_000;
+const HANDSHAKE_LIMIT = {timeoutMs: 2_000, reason: 'handshake timed out'};
 
 /** Unread answers of a connection beyond which its requests wait. */
 const MAX_QUEUED_BYTES = 8 * 1024 * 1024;
@@ -49,46 +42,35 @@
 
 /** Serves the calls of one connection, concurrently. */
 export class ServerConnection {
-  readonly #socket: Socket;
   readonly #options: ServerConnectionOptions;
-  readonly #decoder = new FrameDecoder(HANDSHAKE_MAX_FRAME_BYTES);
-  readonly #writer: FrameWriter;
-  readonly #monitor: SilenceMonitor;
+  readonly #channel: PeerChannel;
   readonly #running = new Map<number, RunningCall>();
-  readonly #closed = new AbortController();
-  #from: string;
   #ready = false;
 
   constructor(socket: Socket, options: ServerConnectionOptions) {
-    this.#socket = socket;
     this.#options = options;
-    this.#from = `${socket.remoteAddress}:${socket.remotePort}`;
-    this.#writer = new FrameWriter(socket, options.maxFrameBytes);
-    this.#monitor = new SilenceMonitor({
+    this.#channel = new PeerChannel(socket, {
       clock: options.clock,
-      writer: this.#writer,
+      maxFrameBytes: options.maxFrameBytes,
+      log: options.log,
+      peer: `${socket.remoteAddress}:${socket.remotePort}`,
       sendsHeartbeats: false,
-      onSilent: () => this.#onSilent(),
+      afterSilence: 'the caller connects again',
+      onClose: reason => this.#abortAll(reason),
     });
   }
 
   /** Serves until the connection ends; never rejects. */
   async run(): Promise<void> {
-    this.#socket.on('error', () => {});
-    const messages = readMessages(this.#socket, this.#decoder, () =>
-      this.#monitor.noteReceived(),
-    );
+    const {messages, writer} = this.#channel;
     try {
-      await this.#shakeHands(messages);
-      void this.#monitor.run(this.#closed.signal);
+      await this.#channel.open(HANDSHAKE_LIMIT, () => this.#shakeHands());
       for await (const {message} of messages) {
         this.#onMessage(message);
-        if (this.#writer.queuedBytes > MAX_QUEUED_BYTES) {
-          await this.#writer.drained();
-        }
+        if (writer.queuedBytes > MAX_QUEUED_BYTES) await writer.drained();
       }
     } catch (err) {
-      this.#logEnd(err);
+      this.#channel.logEnd(err);
     } finally {
       this.close('connection of the caller was lost');
     }
@@ -96,47 +78,40 @@
 
   /** Asks the caller to end the connection behind its last call. */
   drain(): void {
-    if (this.#ready) this.#writer.write({kind: 'closing'});
+    if (this.#ready) this.#channel.writer.write({kind: 'closing'});
     else this.close('this node is closing');
   }
 
   /** Closes the connection and aborts its calls. */
   close(reason: string): void {
-    if (this.#closed.signal.aborted) return;
-    this.#closed.abort();
-    this.#socket.destroy();
+    this.#channel.close(reason);
+  }
+
+  #abortAll(reason: string): void {
     for (const call of this.#running.values()) call.abort(reason);
   }
 
-  async #shakeHands(messages: AsyncGenerator<ReceivedMessage>): Promise<void> {
-    const {clock, self, peerSecret} = this.#options;
-    const proved = new AbortController();
-    void clock.sleep(HANDSHAKE_TIMEOUT_MS, proved.signal).then(() => {
-      if (!proved.signal.aborted) this.close('handshake timed out');
-    });
-    try {
-      const serverNonce = createNonce();
-      this.#writer.write({kind: 'challenge', nonce: serverNonce});
-      const hello = await expectMessage(messages, 'hello');
-      if (hello.version !== PROTOCOL_VERSION) {
-        throw new HandshakeError(`protocol version ${hello.version}`);
-      }
-      const nonces = {serverNonce, clientNonce: hello.nonce};
-      const input = {role: 'client', id: hello.from, ...nonces} as const;
-      if (!isValidProof(peerSecret, input, hello.proof)) {
-        throw new HandshakeError(`${hello.from} does not know the peer secret`);
-      }
-      this.#from = hello.from;
-      this.#writer.write({
-        kind: 'welcome',
-        from: self,
-        proof: createProof(peerSecret, {role: 'server', id: self, ...nonces}),
-      });
-      this.#decoder.setMaxFrameBytes(this.#options.maxFrameBytes);
-      this.#ready = true;
-    } finally {
-      proved.abort();
+  async #shakeHands(): Promise<void> {
+    const {self, peerSecret} = this.#options;
+    const {messages, writer} = this.#channel;
+    const serverNonce = createNonce();
+    writer.write({kind: 'challenge', nonce: serverNonce});
+    const hello = await expectMessage(messages, 'hello');
+    if (hello.version !== PROTOCOL_VERSION) {
+      throw new HandshakeError(`protocol version ${hello.version}`);
+    }
+    const nonces = {serverNonce, clientNonce: hello.nonce};
+    const input = {role: 'client', id: hello.from, ...nonces} as const;
+    if (!isValidProof(peerSecret, input, hello.proof)) {
+      throw new HandshakeError(`${hello.from} does not know the peer secret`);
     }
+    this.#channel.peer = hello.from;
+    writer.write({
+      kind: 'welcome',
+      from: self,
+      proof: createProof(peerSecret, {role: 'server', id: self, ...nonces}),
+    });
+    this.#ready = true;
   }
 
   #onMessage(message: PeerMessage): void {
@@ -148,7 +123,7 @@
       case 'credit':
         return this.#running.get(message.id)?.addCredit(message.bytes);
       case 'ping':
-        return void this.#writer.write({kind: 'pong'});
+        return void this.#channel.writer.write({kind: 'pong'});
       default:
         throw new ProtocolError(`unexpected "${message.kind}" from a client`);
     }
@@ -158,17 +133,17 @@
     if (this.#running.has(id)) {
       return this.close(`caller used the call id ${id} twice`);
     }
-    const call = new RunningCall(this.#from, part =>
-      this.#writer.write({kind: 'part', id, body: part}),
+    const call = new RunningCall(this.#channel.peer, part =>
+      this.#channel.writer.write({kind: 'part', id, body: part}),
     );
     this.#running.set(id, call);
     try {
       const result = await this.#run(method, body, call);
       if (call.signal.aborted) return;
-      this.#writer.write({kind: 'res', id, body: result});
+      this.#channel.writer.write({kind: 'res', id, body: result});
     } catch (err) {
       if (call.signal.aborted) return;
-      this.#writer.write({kind: 'err', id, message: toMessage(err)});
+      this.#channel.writer.write({kind: 'err', id, message: toMessage(err)});
     } finally {
       this.#running.delete(id);
     }
@@ -184,21 +159,6 @@
     }
     return handler(body, call);
   }
-
-  #onSilent(): void {
-    this.#options.log({
-      event: 'peer-connection-silent',
-      peer: this.#from,
-      detail: 'closed; the caller connects again',
-    });
-    this.close('connection of the caller went silent');
-  }
-
-  #logEnd(err: unknown): void {
-    if (this.#closed.signal.aborted) return;
-    const event = resolveLogEvent(err);
-    this.#options.log({event, peer: this.#from, detail: String(err)});
-  }
 }
 
 /** Longest error text sent to a caller, in characters. */
