--- a/src/callers/batch.ts
+++ b/src/callers/batch.ts
@@ -5,11 +5,11 @@
  * ParseComplete answers are dropped again.
  */
 import {serialize} from 'pg-protocol';
-import {buildFrame, cString} from '../targets/frames.js';
+import {buildFrame, cString, splitFrames} from '../targets/frames.js';
 import {BodyReader} from './body-reader.js';
 import {ProtocolError, type Frame} from './socket-reader.js';
 
-const PARSE_COMPLETE = 0x31;
+const PARSE_COMPLETE = '1';
 const UNKNOWN_STATEMENT = '26000';
 /** Statements that one session may keep prepared. */
 const MAX_PREPARED = 1_000;
@@ -162,13 +162,9 @@
   filter(frames: Buffer): Buffer {
     if (this.#seen >= this.#wanted.length) return frames;
     const kept: Buffer[] = [];
-    for (let at = 0; at < frames.length;) {
-      const end = at + 1 + frames.readInt32BE(at + 1);
-      const isParse = frames[at] === PARSE_COMPLETE;
-      if (!isParse || this.#wanted[this.#seen++] !== false) {
-        kept.push(frames.subarray(at, end));
-      }
-      at = end;
+    for (const {type, bytes} of splitFrames(frames)) {
+      const isParse = type === PARSE_COMPLETE;
+      if (!isParse || this.#wanted[this.#seen++] !== false) kept.push(bytes);
     }
     return kept.length === 1 && kept[0] ? kept[0] : Buffer.concat(kept);
   }
--- a/src/callers/broken-transaction.ts
+++ b/src/callers/broken-transaction.ts
@@ -3,6 +3,11 @@
  * database or home was lost, or because the proxy refused a statement in it.
  */
 import type {Classification} from '../routing/statement.js';
+import {
+  FRAME_HEADER_BYTES,
+  splitFrames,
+  type Frame,
+} from '../targets/frames.js';
 import {
   bindComplete,
   closeComplete,
@@ -22,8 +27,6 @@
   hint: 'The transaction was rolled back; end it by ROLLBACK and begin it again.',
 };
 
-const LENGTH_OFFSET = 1;
-const HEADER_BYTES = 5;
 const STATEMENT_KIND = 'S'.charCodeAt(0);
 
 /** Whether a batch does nothing but end the transaction. */
@@ -53,23 +56,17 @@
  * socket.write(rollbackAnswer(serialize.query('COMMIT')));
  */
 export function rollbackAnswer(frames: Uint8Array): Buffer {
-  const bytes = Buffer.from(frames);
-  const answers: Buffer[] = [];
-  for (let at = 0; at < bytes.length;) {
-    answers.push(...answerTo(bytes.subarray(at)));
-    at += 1 + bytes.readInt32BE(at + LENGTH_OFFSET);
-  }
-  return Buffer.concat(answers);
+  return Buffer.concat([...splitFrames(frames)].flatMap(answerTo));
 }
 
-function answerTo(frame: Buffer): readonly Buffer[] {
-  switch (String.fromCharCode(frame[0] ?? 0)) {
+function answerTo({type, bytes}: Frame): readonly Buffer[] {
+  switch (type) {
     case 'P':
       return [parseComplete()];
     case 'B':
       return [bindComplete()];
     case 'D': {
-      const isStatement = frame[HEADER_BYTES] === STATEMENT_KIND;
+      const isStatement = bytes[FRAME_HEADER_BYTES] === STATEMENT_KIND;
       return isStatement ? [noParameters(), noData()] : [noData()];
     }
     case 'C':
--- a/src/callers/socket-reader.ts
+++ b/src/callers/socket-reader.ts
@@ -1,8 +1,12 @@
 /**
  * Reads exact byte counts from a caller's socket, with back-pressure: bytes
- * that nobody asked for stay in the socket.
+ * that nobody asked for stay in the socket, where a TLS upgrade needs them.
  */
 import type {Duplex} from 'node:stream';
+import {
+  FRAME_HEADER_BYTES,
+  type Frame as WholeFrame,
+} from '../targets/frames.js';
 
 const PROTOCOL_VIOLATION = '08P01';
 
@@ -17,15 +21,11 @@
   }
 }
 
-/** One message: its type byte and its body without the header. */
-export interface Frame {
-  readonly type: string;
+/** One message, with its body apart from the header. */
+export interface Frame extends WholeFrame {
   readonly body: Buffer;
-  /** Header and body, as received. */
-  readonly bytes: Buffer;
 }
 
-const HEADER_BYTES = 5;
 const LENGTH_BYTES = 4;
 
 /** Pulls messages from a socket, one reader a connection. */
@@ -84,7 +84,7 @@
 
   /** The next message; undefined at the end of the connection. */
   async readFrame(maxBytes: number): Promise<Frame | undefined> {
-    const header = await this.read(HEADER_BYTES);
+    const header = await this.read(FRAME_HEADER_BYTES);
     if (header === undefined) return undefined;
     const length = header.readInt32BE(1);
     if (length < LENGTH_BYTES || length > maxBytes) {
--- a/src/targets/frames.ts
+++ b/src/targets/frames.ts
@@ -133,6 +133,23 @@
   }
 }
 
+/**
+ * Walks over whole frames that lie one behind another.
+ *
+ * @example
+ * for (const {type} of splitFrames(answer)) types.push(type);
+ */
+export function* splitFrames(frames: Uint8Array): Generator<Frame> {
+  const {buffer, byteOffset, byteLength} = frames;
+  const all = Buffer.from(buffer, byteOffset, byteLength);
+  for (let at = 0; at < all.length;) {
+    const end = at + 1 + all.readInt32BE(at + 1);
+    const type = String.fromCharCode(all[at] ?? 0);
+    yield {type, bytes: all.subarray(at, end)};
+    at = end;
+  }
+}
+
 function joinChunks(parts: readonly Uint8Array[], length: number): Buffer {
   const filled = parts.filter(part => part.length > 0);
   const only = filled.length === 1 ? filled[0] : undefined;
--- a/src/targets/query-rows.ts
+++ b/src/targets/query-rows.ts
@@ -1,18 +1,19 @@
 /** Runs one simple query and gathers its rows. */
 import {serialize} from 'pg-protocol';
 import {
-  FrameReader,
+  FRAME_HEADER_BYTES,
   readErrorFields,
+  splitFrames,
   type ErrorFields,
-  type Frame,
 } from './frames.js';
 import {TargetError, type TargetConnection} from './types.js';
 
 /** A row by its columns' names; null stands for SQL's null. */
 export type TextRow = Readonly<Record<string, string | null>>;
 
-const FIELD_COUNT_OFFSET = 5;
-const FIRST_FIELD_OFFSET = 7;
+const FIELD_COUNT_OFFSET = FRAME_HEADER_BYTES;
+const FIRST_FIELD_OFFSET = FIELD_COUNT_OFFSET + 2;
+const LENGTH_BYTES = 4;
 /** Bytes that follow a column's name in RowDescription. */
 const COLUMN_ATTRIBUTES_BYTES = 18;
 const NULL_LENGTH = -1;
@@ -32,54 +33,55 @@
   await connection.run(serialize.query(sql), {
     onFrames: frames => void chunks.push(frames),
   });
-  return readRows(chunks);
+  return readRows(Buffer.concat(chunks));
 }
 
-async function readRows(
-  chunks: readonly Uint8Array[],
-): Promise<readonly TextRow[]> {
-  const rows: TextRow[] = [];
-  let columns: readonly string[] = [];
-  let failure: ErrorFields | undefined;
-  for await (const frame of new FrameReader(toStream(chunks))) {
-    if (frame.type === 'T') columns = readColumns(frame);
-    if (frame.type === 'D') rows.push(readRow(frame, columns));
-    if (frame.type === 'E') failure = readErrorFields(frame.bytes);
-  }
-  if (failure === undefined) return rows;
-  throw new TargetError('refused', failure.message, failure.code);
-}
-
-async function* toStream(
-  chunks: readonly Uint8Array[],
-): AsyncIterable<Uint8Array> {
-  yield* chunks;
-}
-
-function readColumns({bytes}: Frame): readonly string[] {
+/** The names of the columns in a RowDescription frame. */
+export function readColumns(frame: Buffer): readonly string[] {
   const names: string[] = [];
-  const count = bytes.readInt16BE(FIELD_COUNT_OFFSET);
+  const count = frame.readInt16BE(FIELD_COUNT_OFFSET);
   let at = FIRST_FIELD_OFFSET;
   while (names.length < count) {
-    const end = bytes.indexOf(0, at);
-    names.push(bytes.toString('utf8', at, end));
+    const end = frame.indexOf(0, at);
+    names.push(frame.toString('utf8', at, end));
     at = end + 1 + COLUMN_ATTRIBUTES_BYTES;
   }
   return names;
 }
 
-function readRow({bytes}: Frame, columns: readonly string[]): TextRow {
-  const row: Record<string, string | null> = {};
+/** The values of a DataRow frame in their text format. */
+export function readValues(frame: Buffer): readonly (string | null)[] {
+  const values: (string | null)[] = [];
+  const count = frame.readInt16BE(FIELD_COUNT_OFFSET);
   let at = FIRST_FIELD_OFFSET;
-  for (const column of columns) {
-    const length = bytes.readInt32BE(at);
-    at += 4;
-    if (length === NULL_LENGTH) {
-      row[column] = null;
-      continue;
-    }
-    row[column] = bytes.toString('utf8', at, at + length);
-    at += length;
+  while (values.length < count) {
+    const length = frame.readInt32BE(at);
+    at += LENGTH_BYTES;
+    const isNull = length === NULL_LENGTH;
+    values.push(isNull ? null : frame.toString('utf8', at, at + length));
+    if (!isNull) at += length;
   }
-  return row;
+  return values;
+}
+
+function readRows(frames: Uint8Array): readonly TextRow[] {
+  const rows: TextRow[] = [];
+  let columns: readonly string[] = [];
+  let failure: ErrorFields | undefined;
+  for (const {type, bytes} of splitFrames(frames)) {
+    if (type === 'T') columns = readColumns(bytes);
+    if (type === 'D') rows.push(toRow(columns, readValues(bytes)));
+    if (type === 'E') failure = readErrorFields(bytes);
+  }
+  if (failure === undefined) return rows;
+  throw new TargetError('refused', failure.message, failure.code);
+}
+
+function toRow(
+  columns: readonly string[],
+  values: readonly (string | null)[],
+): TextRow {
+  return Object.fromEntries(
+    columns.map((column, index) => [column, values[index] ?? null]),
+  );
 }
