--- a/src/home/database-lane.ts
+++ b/src/home/database-lane.ts
@@ -3,6 +3,7 @@
  * connections. A slot is a connection together with the right to use it.
  */
 import {serialize} from 'pg-protocol';
+import {ConcurrencyLimit} from '../admission/concurrency-limit.js';
 import {FairQueue} from '../admission/fair-queue.js';
 import type {DatabaseSpec} from '../groups/types.js';
 import type {Clock} from '../platform/clock.js';
@@ -11,8 +12,6 @@
 import {notRun, type NotRun} from '../verdict/verdict.js';
 import type {Priority} from './types.js';
 
-/** Statements sent beyond the database's slots, so that none stands idle. */
-const EXTRA_CONCURRENCY = 1;
 /** Weight of the newest sample in the average cost of a statement. */
 const COST_SMOOTHING = 0.1;
 const INITIAL_COST_MS = 2;
@@ -78,6 +77,7 @@
 export class DatabaseLane {
   readonly #options: DatabaseLaneOptions;
   readonly #queue: FairQueue<Waiter>;
+  readonly #concurrency: ConcurrencyLimit;
   readonly #idle: IdleConnection[] = [];
   #running = 0;
   #pinned = 0;
@@ -86,6 +86,10 @@
 
   constructor(options: DatabaseLaneOptions) {
     this.#options = options;
+    this.#concurrency = new ConcurrencyLimit({
+      slots: () => options.spec.slots,
+      connections: () => options.connectionShare() - this.#pinned,
+    });
     this.#queue = new FairQueue<Waiter>({
       clock: options.clock,
       weightOf: options.weightOf,
@@ -134,9 +138,7 @@
   }
 
   get #limit(): number {
-    const {spec, connectionShare} = this.#options;
-    const room = connectionShare() - this.#pinned;
-    return Math.max(1, Math.min(spec.slots + EXTRA_CONCURRENCY, room));
+    return Math.max(1, this.#concurrency.value);
   }
 
   get #hasRoom(): boolean {
