--- a/src/home/database-lane.ts
+++ b/src/home/database-lane.ts
@@ -2,7 +2,6 @@
  * The way to one database: a fair queue in front of a small set of
  * connections. A slot is a connection together with the right to use it.
  */
-import {serialize} from 'pg-protocol';
 import {ConcurrencyLimit} from '../admission/concurrency-limit.js';
 import {FairQueue} from '../admission/fair-queue.js';
 import type {DatabaseSpec} from '../groups/types.js';
@@ -10,16 +9,13 @@
 import {startTimer} from '../platform/timer.js';
 import {TargetError, type TargetConnection} from '../targets/types.js';
 import {notRun, type NotRun} from '../verdict/verdict.js';
+import {IdleConnections} from './idle-connections.js';
 import type {Priority} from './types.js';
 
 /** Weight of the newest sample in the average cost of a statement. */
 const COST_SMOOTHING = 0.1;
 const INITIAL_COST_MS = 2;
 const RECONNECT_RETRY_MS = 100;
-/** A connection unused for longer is asked for a sign of life first. */
-const VALIDATE_AFTER_MS = 1_000;
-const VALIDATE_TIMEOUT_MS = 300;
-const IGNORE_ANSWER = {onFrames: () => {}};
 /** Connections that open transactions may not take from other work. */
 const UNPINNED_RESERVE = 2;
 
@@ -57,11 +53,6 @@
   readonly isReachable: () => boolean;
 }
 
-interface IdleConnection {
-  readonly connection: TargetConnection;
-  readonly since: number;
-}
-
 interface Waiter {
   readonly req: SlotRequest;
   readonly settle: (result: SlotResult) => void;
@@ -78,7 +69,7 @@
   readonly #options: DatabaseLaneOptions;
   readonly #queue: FairQueue<Waiter>;
   readonly #concurrency: ConcurrencyLimit;
-  readonly #idle: IdleConnection[] = [];
+  readonly #idle: IdleConnections;
   #running = 0;
   #pinned = 0;
   #costMs = INITIAL_COST_MS;
@@ -86,6 +77,7 @@
 
   constructor(options: DatabaseLaneOptions) {
     this.#options = options;
+    this.#idle = new IdleConnections(options.clock);
     this.#concurrency = new ConcurrencyLimit({
       slots: () => options.spec.slots,
       connections: () => options.connectionShare() - this.#pinned,
@@ -104,7 +96,7 @@
 
   /** Connections that are open. */
   get connections(): number {
-    return this.#idle.length + this.#running + this.#pinned;
+    return this.#idle.size + this.#running + this.#pinned;
   }
 
   /** Opens connections ahead of their use; failures are left to later. */
@@ -134,7 +126,7 @@
   /** Opens nothing any more and closes what is idle. */
   close(): void {
     this.#closed = true;
-    for (const {connection} of this.#idle.splice(0)) connection.close();
+    this.#idle.closeAll();
   }
 
   get #limit(): number {
@@ -173,7 +165,7 @@
   async #open(): Promise<SlotResult> {
     try {
       const connection =
-        (await this.#reuse()) ?? (await this.#options.connect());
+        (await this.#idle.take()) ?? (await this.#options.connect());
       return {kind: 'granted', slot: this.#slot(connection)};
     } catch (err) {
       this.#leave();
@@ -182,37 +174,6 @@
     }
   }
 
-  /** An idle connection that still answers. */
-  async #reuse(): Promise<TargetConnection | undefined> {
-    for (;;) {
-      const idle = this.#idle.pop();
-      if (idle === undefined) return undefined;
-      const {connection, since} = idle;
-      if (!connection.usable) continue;
-      const idleMs = this.#options.clock.now() - since;
-      if (idleMs < VALIDATE_AFTER_MS) return connection;
-      if (await this.#answers(connection)) return connection;
-      // What made this one silent is likely to have taken the others along.
-      for (const other of this.#idle.splice(0)) other.connection.close();
-    }
-  }
-
-  /** Whether a connection answers; something between may have lost it. */
-  async #answers(connection: TargetConnection): Promise<boolean> {
-    const {clock} = this.#options;
-    const cancel = startTimer(clock, VALIDATE_TIMEOUT_MS, () =>
-      connection.close(),
-    );
-    try {
-      await connection.run(serialize.sync(), IGNORE_ANSWER);
-      return connection.usable;
-    } catch {
-      return false;
-    } finally {
-      cancel();
-    }
-  }
-
   #slot(connection: TargetConnection): Slot {
     const startedAt = this.#options.clock.now();
     let pinned = false;
@@ -249,7 +210,7 @@
     const fits = this.connections < this.#options.connectionShare() + 1;
     const clean = connection.usable && connection.transaction === 'idle';
     if (!clean || !fits || this.#closed) return connection.close();
-    this.#idle.push({connection, since: this.#options.clock.now()});
+    this.#idle.add(connection);
   }
 
   #leave(): void {
