--- a/src/home/database-lane.ts
+++ b/src/home/database-lane.ts
@@ -10,7 +10,7 @@
 import {TargetError, type TargetConnection} from '../targets/types.js';
 import {notRun, type NotRun} from '../verdict/verdict.js';
 import {IdleConnections} from './idle-connections.js';
-import type {Priority} from './types.js';
+import {CANCELLED, type Priority} from './types.js';
 
 /** Weight of the newest sample in the average cost of a statement. */
 const COST_SMOOTHING = 0.1;
@@ -25,6 +25,8 @@
   readonly priority: Priority;
   /** When the caller gives up, on the node's monotonic clock. */
   readonly deadlineAt: number;
+  /** Aborts when the caller cancels what it wants the slot for. */
+  readonly cancelled: AbortSignal;
 }
 
 /** The outcome of asking for a slot. */
@@ -53,6 +55,8 @@
   readonly isReachable: () => boolean;
 }
 
+const CANCELLED_RESULT: SlotResult = {kind: 'refused', verdict: CANCELLED};
+
 interface Waiter {
   readonly req: SlotRequest;
   readonly settle: (result: SlotResult) => void;
@@ -62,7 +66,7 @@
  * Grants slots of one database, urgent work first, fairly between teams.
  *
  * @example
- * const result = await lane.acquire({team, priority: 'urgent', deadlineAt});
+ * const result = await lane.acquire({team, priority, deadlineAt, cancelled});
  * if (result.kind === 'granted') await result.slot.connection.run(frames, observer);
  */
 export class DatabaseLane {
@@ -112,13 +116,14 @@
 
   /** Waits for a slot, or says at once that there will be none in time. */
   async acquire(req: SlotRequest): Promise<SlotResult> {
+    if (req.cancelled.aborted) return CANCELLED_RESULT;
     if (this.#closed) return this.#unavailable('is no longer in the group');
     if (!this.#options.isReachable()) {
       return this.#unavailable('does not answer');
     }
     if (this.#queue.size === 0 && this.#hasRoom) {
       this.#running++;
-      return this.#open();
+      return this.#open(req);
     }
     return this.#enqueue(req);
   }
@@ -141,13 +146,18 @@
     const {clock} = this.#options;
     return new Promise(resolve => {
       const leftMs = req.deadlineAt - clock.now();
-      const cancel = startTimer(clock, leftMs, () => {
+      const stopTimer = startTimer(clock, leftMs, () => {
         if (this.#queue.remove(waiter)) settle(this.#overloaded(this.#costMs));
       });
+      const onCancel = () => {
+        if (this.#queue.remove(waiter)) settle(CANCELLED_RESULT);
+      };
       const settle = (result: SlotResult) => {
-        cancel();
+        stopTimer();
+        req.cancelled.removeEventListener('abort', onCancel);
         resolve(result);
       };
+      req.cancelled.addEventListener('abort', onCancel);
       const waiter: Waiter = {req, settle};
       const offered = this.#queue.offer(waiter, {
         team: req.team,
@@ -162,11 +172,16 @@
   }
 
   /** Takes an idle connection or opens one; `#running` is counted already. */
-  async #open(): Promise<SlotResult> {
+  async #open({cancelled}: SlotRequest): Promise<SlotResult> {
     try {
       const connection =
         (await this.#idle.take()) ?? (await this.#options.connect());
-      return {kind: 'granted', slot: this.#slot(connection)};
+      if (!cancelled.aborted) {
+        return {kind: 'granted', slot: this.#slot(connection)};
+      }
+      this.#keep(connection);
+      this.#leave();
+      return CANCELLED_RESULT;
     } catch (err) {
       this.#leave();
       const reason = err instanceof TargetError ? err.message : String(err);
@@ -227,7 +242,8 @@
         continue;
       }
       this.#running++;
-      void this.#open().then(taken.item.settle);
+      const {req, settle} = taken.item;
+      void this.#open(req).then(settle);
     }
   }
 
--- a/src/home/group-home.ts
+++ b/src/home/group-home.ts
@@ -8,9 +8,9 @@
 import {ReadLoop} from './read-loop.js';
 import {ReadPath} from './read-path.js';
 import {Transactions} from './transactions.js';
-import type {ExecRequest, ExecResult, PartSink} from './types.js';
+import type {ExecAttempt, ExecRequest, ExecResult, PartSink} from './types.js';
 import {WriteGate} from './write-gate.js';
-import {WritePath, type WriteAttempt} from './write-path.js';
+import {WritePath} from './write-path.js';
 
 /** Settings of a group's home. */
 export interface GroupHomeOptions extends GroupDatabasesOptions {
@@ -33,7 +33,8 @@
   readonly #reads: ReadLoop;
   readonly #writes: WritePath;
   readonly #gate: WriteGate;
-  readonly #running = new Set<ExecRequest>();
+  /** What runs or waits, each with the signal that cancels it. */
+  readonly #running = new Map<ExecRequest, AbortController>();
   #lastUsedAt: number;
 
   constructor(options: GroupHomeOptions) {
@@ -92,12 +93,13 @@
     signal: AbortSignal,
   ): Promise<ExecResult> {
     const deadlineAt = this.#clock.now() + req.deadlineMs;
-    this.#running.add(req);
+    const cancel = new AbortController();
+    const cancelled = cancel.signal;
+    const attempt = {req, sink, deadlineAt, signal, cancelled};
+    this.#running.set(req, cancel);
     try {
-      if (req.kind === 'read') {
-        return await this.#reads.run(req, sink, deadlineAt, signal);
-      }
-      return await this.#write({req, sink, deadlineAt, signal});
+      if (req.kind === 'read') return await this.#reads.run(attempt);
+      return await this.#write(attempt);
     } finally {
       this.#running.delete(req);
       this.#lastUsedAt = this.#clock.now();
@@ -114,8 +116,11 @@
     this.#transactions.release(pin);
   }
 
-  /** Asks the database to stop what a session runs. */
+  /** Stops what a session runs, or takes it out of the queue. */
   cancel(sessionId: string): void {
+    for (const [req, cancel] of this.#running) {
+      if (req.sessionId === sessionId) cancel.abort();
+    }
     this.#databases.runs.cancel(sessionId);
   }
 
@@ -137,7 +142,7 @@
     }
   }
 
-  async #write(attempt: WriteAttempt): Promise<ExecResult> {
+  async #write(attempt: ExecAttempt): Promise<ExecResult> {
     const {req, signal} = attempt;
     const result =
       req.pin === undefined
--- a/src/home/read-loop.ts
+++ b/src/home/read-loop.ts
@@ -4,10 +4,10 @@
 import type {GroupDatabases} from './group-databases.js';
 import type {ReadOutcome, ReadPath} from './read-path.js';
 import {
+  CANCELLED,
   failedResult,
-  type ExecRequest,
+  type ExecAttempt,
   type ExecResult,
-  type PartSink,
 } from './types.js';
 
 /** How long to wait before the databases are looked at again. */
@@ -38,40 +38,37 @@
   }
 
   /** Serves one read. Never rejects. */
-  async run(
-    req: ExecRequest,
-    sink: PartSink,
-    deadlineAt: number,
-    signal: AbortSignal,
-  ): Promise<ExecResult> {
+  async run(read: ExecAttempt): Promise<ExecResult> {
     const {databases, path, retries} = this.#options;
     const avoid = new Set<string>();
     retries.deposit();
     for (let share = FIRST_ATTEMPT_SHARE; ; share = 1) {
-      const attempt = {req, sink, deadlineAt, runShare: share, avoid};
-      const outcome = await path.attempt(attempt);
+      const outcome = await path.attempt({...read, runShare: share, avoid});
       if (outcome.result.verdict.kind === 'done') return outcome.result;
       if (outcome.forwarded) return failedResult(brokenOff());
-      const final = this.#finalResult(outcome, deadlineAt, signal);
+      const final = this.#finalResult(outcome, read);
       if (final !== undefined) return final;
       if (outcome.databaseId !== undefined) {
         avoid.add(outcome.databaseId);
         continue;
       }
       avoid.clear();
-      await databases.waitForChange(CHANGE_WAIT_MS, signal);
+      await databases.waitForChange(CHANGE_WAIT_MS, read.signal);
     }
   }
 
   /** The result if another try is not allowed or of no use. */
   #finalResult(
     outcome: ReadOutcome,
-    deadlineAt: number,
-    signal: AbortSignal,
+    {deadlineAt, signal, cancelled}: ExecAttempt,
   ): ExecResult | undefined {
     const {databases, retries} = this.#options;
     const {result, sent} = outcome;
-    if (signal.aborted || !isRetryable(result.verdict, true)) return result;
+    const {verdict} = result;
+    if (cancelled.aborted) {
+      return verdict.kind === 'notRun' ? failedResult(CANCELLED) : result;
+    }
+    if (signal.aborted || !isRetryable(verdict, true)) return result;
     if (deadlineAt - databases.clock.now() < MIN_ATTEMPT_MS) return result;
     if (databases.isHopeless && outcome.databaseId === undefined) {
       const message = `too few databases of group ${databases.spec.name} answer`;
--- a/src/home/read-path.ts
+++ b/src/home/read-path.ts
@@ -5,12 +5,7 @@
 import {DONE, mayHaveRun, notRun, type Verdict} from '../verdict/verdict.js';
 import {ReadAnswer} from './answers.js';
 import type {GroupDatabases} from './group-databases.js';
-import {
-  failedResult,
-  type ExecRequest,
-  type ExecResult,
-  type PartSink,
-} from './types.js';
+import {failedResult, type ExecAttempt, type ExecResult} from './types.js';
 
 /** How long a read waits for a replica rather than go to the primary. */
 const MAX_REPLICA_WAIT_MS = 20;
@@ -22,11 +17,8 @@
   readonly weights: () => ProviderWeights;
 }
 
-/** One read and where its answer goes. */
-export interface ReadAttempt {
-  readonly req: ExecRequest;
-  readonly sink: PartSink;
-  readonly deadlineAt: number;
+/** One try of a read. */
+export interface ReadAttempt extends ExecAttempt {
   /** The part of the time left, once it has a slot, that it may run. */
   readonly runShare: number;
   /** Databases that failed this read before. */
@@ -90,7 +82,7 @@
     role: 'primary' | 'replica',
   ): Promise<ReadOutcome> {
     const {databases} = this.#options;
-    const {req, deadlineAt} = attempt;
+    const {req, deadlineAt, cancelled} = attempt;
     const answer = new ReadAnswer(
       req.token,
       attempt.sink,
@@ -100,7 +92,12 @@
     );
     const lane = databases.lane(databaseId);
     const {team, priority} = req;
-    const acquired = await lane?.acquire({team, priority, deadlineAt});
+    const acquired = await lane?.acquire({
+      team,
+      priority,
+      deadlineAt,
+      cancelled,
+    });
     if (acquired === undefined) return failed(gone(databaseId), databaseId);
     if (acquired.kind === 'refused')
       return failed(acquired.verdict, databaseId);
--- a/src/home/types.ts
+++ b/src/home/types.ts
@@ -1,7 +1,7 @@
 /** What entries ask of a group's home, and what it answers. */
 import type {Position} from '../session/position.js';
 import type {TransactionStatus} from '../targets/types.js';
-import type {Verdict} from '../verdict/verdict.js';
+import {notRun, type NotRun, type Verdict} from '../verdict/verdict.js';
 
 /** Scheduling class at the home's queues. */
 export type Priority = 'urgent' | 'ordinary';
@@ -45,6 +45,18 @@
 /** Receives whole answer frames in order. */
 export type PartSink = (frames: Uint8Array) => void | Promise<void>;
 
+/** A batch at its home and where its answer goes. */
+export interface ExecAttempt {
+  readonly req: ExecRequest;
+  readonly sink: PartSink;
+  /** When the caller gives up, on the node's monotonic clock. */
+  readonly deadlineAt: number;
+  /** Aborts when the caller is gone. */
+  readonly signal: AbortSignal;
+  /** Aborts when the caller cancels the batch; for what has not begun yet. */
+  readonly cancelled: AbortSignal;
+}
+
 /** Runs batches on a database group. */
 export interface GroupExecutor {
   /**
@@ -58,10 +70,16 @@
   ): Promise<ExecResult>;
   /** Rolls back a transaction whose caller is gone. */
   release(group: string, pin: string): void;
-  /** Asks the database to stop what the session runs. */
+  /** Stops what the session runs, or takes it out of the queue. */
   cancel(group: string, sessionId: string): void;
 }
 
+/** The verdict of a batch that was cancelled before it reached a database. */
+export const CANCELLED: NotRun = notRun(
+  'cancelled',
+  'the statement was cancelled before it ran',
+);
+
 /** A result for a batch that ended without running. */
 export function failedResult(
   verdict: Verdict,
--- a/src/home/write-path.ts
+++ b/src/home/write-path.ts
@@ -2,6 +2,7 @@
 import {ackVerdict, type AckMode} from '../groups/acknowledgement.js';
 import {comparePositions, type Position} from '../session/position.js';
 import {TargetError, type BatchEnd} from '../targets/types.js';
+import {isRetryable} from '../verdict/retry.js';
 import {
   DONE,
   mayHaveRun,
@@ -15,10 +16,10 @@
 import {rollBack, type Transactions} from './transactions.js';
 import type {WriteGate} from './write-gate.js';
 import {
+  CANCELLED,
   failedResult,
-  type ExecRequest,
+  type ExecAttempt,
   type ExecResult,
-  type PartSink,
 } from './types.js';
 
 /** How long to wait before the primary is looked up again. */
@@ -38,14 +39,6 @@
   readonly ackMode: () => AckMode;
 }
 
-/** A write and where its answer goes. */
-export interface WriteAttempt {
-  readonly req: ExecRequest;
-  readonly sink: PartSink;
-  readonly deadlineAt: number;
-  readonly signal: AbortSignal;
-}
-
 /** What is known once a batch has run on the primary. */
 interface RanBatch {
   readonly slot: Slot;
@@ -66,7 +59,7 @@
    * Runs a batch outside a transaction. Until it has reached a database it
    * waits for a primary within its deadline. Never rejects.
    */
-  async run(attempt: WriteAttempt): Promise<ExecResult> {
+  async run(attempt: ExecAttempt): Promise<ExecResult> {
     const {databases, gate} = this.#options;
     for (;;) {
       const late = this.#refusalNow(attempt);
@@ -83,7 +76,7 @@
   }
 
   /** Runs a batch of an open transaction. Never rejects. */
-  async runPinned(attempt: WriteAttempt, pin: string): Promise<ExecResult> {
+  async runPinned(attempt: ExecAttempt, pin: string): Promise<ExecResult> {
     const {transactions, gate} = this.#options;
     const pinned = transactions.take(pin);
     if (pinned === undefined)
@@ -112,10 +105,15 @@
   }
 
   /** Why waiting any longer is of no use; undefined while it may be. */
-  #refusalNow({deadlineAt, signal}: WriteAttempt): NotRun | undefined {
+  #refusalNow({
+    deadlineAt,
+    signal,
+    cancelled,
+  }: ExecAttempt): NotRun | undefined {
     const {databases} = this.#options;
     const {name} = databases.spec;
     if (signal.aborted) return notRun('noPrimary', 'the caller is gone');
+    if (cancelled.aborted) return CANCELLED;
     if (databases.isHopeless) {
       const message = `too few databases of group ${name} answer`;
       return notRun('noPrimary', message, HOPELESS_RETRY_MS);
@@ -127,18 +125,23 @@
   }
 
   /** One try; undefined if it is known not to have run and may be repeated. */
-  async #tryPrimary(attempt: WriteAttempt): Promise<ExecResult | undefined> {
+  async #tryPrimary(attempt: ExecAttempt): Promise<ExecResult | undefined> {
     const {databases} = this.#options;
-    const {req, deadlineAt} = attempt;
+    const {req, deadlineAt, cancelled} = attempt;
     const databaseId = databases.view().primaryId;
     const lane = databaseId ? databases.lane(databaseId) : undefined;
     if (databaseId === undefined || lane === undefined) return undefined;
     const {team, priority} = req;
-    const acquired = await lane.acquire({team, priority, deadlineAt});
+    const acquired = await lane.acquire({
+      team,
+      priority,
+      deadlineAt,
+      cancelled,
+    });
     if (acquired.kind === 'refused') {
       const {verdict} = acquired;
-      if (verdict.reason === 'overloaded') return failedResult(verdict);
-      return undefined;
+      const isFinal = !isRetryable(verdict, false);
+      return isFinal ? failedResult(verdict) : undefined;
     }
     const {slot} = acquired;
     const answer = new WriteAnswer(attempt.sink);
@@ -171,7 +174,7 @@
     databaseId: string,
     slot: Slot,
     answer: WriteAnswer,
-    {req, deadlineAt}: WriteAttempt,
+    {req, deadlineAt}: ExecAttempt,
   ): Promise<BatchEnd> {
     return this.#options.databases.runs.run({
       sessionId: req.sessionId,
@@ -185,7 +188,7 @@
 
   /** Acknowledges what was committed and keeps what is still open. */
   async #conclude(
-    attempt: WriteAttempt,
+    attempt: ExecAttempt,
     ran: RanBatch,
     oldPin: string | undefined,
   ): Promise<ExecResult> {
@@ -207,7 +210,7 @@
 
   /** Keeps the connection of an open transaction, else gives it back. */
   #settleSlot(
-    {req}: WriteAttempt,
+    {req}: ExecAttempt,
     {slot, databaseId, end}: RanBatch,
     oldPin: string | undefined,
   ): string | undefined {
@@ -224,7 +227,7 @@
   }
 
   async #acknowledge(
-    {deadlineAt}: WriteAttempt,
+    {deadlineAt}: ExecAttempt,
     primaryId: string,
     position: Position | undefined,
   ): Promise<Verdict> {
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -74,10 +74,11 @@
     this.#clock = clock;
   }
 
-  /** Counts one finished statement. */
+  /** Counts one finished statement; one that its caller took back is none. */
   observe(sample: Sample): void {
-    const counters = this.#counters(sample);
     const {verdict} = sample;
+    if (verdict.kind === 'notRun' && verdict.reason === 'cancelled') return;
+    const counters = this.#counters(sample);
     if (verdict.kind === 'notRun') {
       const before = counters.refused[verdict.reason] ?? 0;
       counters.refused[verdict.reason] = before + 1;
--- a/src/verdict/sqlstate.ts
+++ b/src/verdict/sqlstate.ts
@@ -63,6 +63,11 @@
     sqlstate: '53300',
     hint: 'The queue is longer than the deadline allows.',
   },
+  cancelled: {
+    severity: 'ERROR',
+    sqlstate: '57014',
+    hint: 'It was cancelled while it waited and did not run.',
+  },
   noPrimary: {
     severity: 'ERROR',
     sqlstate: '57P03',
--- a/src/verdict/verdict.ts
+++ b/src/verdict/verdict.ts
@@ -15,6 +15,7 @@
   | 'rateLimited'
   | 'budgetUnavailable'
   | 'overloaded'
+  | 'cancelled'
   | 'noPrimary'
   | 'staleReplicas'
   | 'targetUnavailable'
--- a/test/callers/cancel.test.ts
+++ b/test/callers/cancel.test.ts
@@ -4,6 +4,8 @@
 import {describe, expect, it, vi} from 'vitest';
 import {useHarness, type TestClient} from './harness.js';
 
+/** Statements that the home sends to one database of two slots at once. */
+const PRIMARY_CONCURRENCY = 3;
 const WAIT = {timeout: 5_000, interval: 10};
 
 describe('cancel requests', () => {
@@ -38,6 +40,43 @@
     expect((await client.query('SELECT 1')).rowCount).toBe(1);
   });
 
+  it('takes a statement that waits for a slot out of the queue', async () => {
+    harness.access.staleMs = 0;
+    const sleepers = await Promise.all(
+      Array.from({length: PRIMARY_CONCURRENCY}, () => harness.connect()),
+    );
+    const ended: string[] = [];
+    for (const sleeper of sleepers) {
+      const query = sleeper.query('SELECT pg_sleep(60)');
+      void query.catch(({code}) => void ended.push(code));
+    }
+    const {homes} = harness.node;
+    const waitForActive = (count: number) =>
+      vi.waitFor(() => expect(homes.active).toBe(count), WAIT);
+    await waitForActive(PRIMARY_CONCURRENCY);
+    const client = await harness.connect();
+    const waiting = client.query(
+      "INSERT INTO claims (id, team, value) VALUES ('waits', 'red', 1)",
+    );
+    const outcome = expect(waiting).rejects.toMatchObject({
+      code: '57014',
+      detail: 'outcome=not_run reason=cancelled',
+    });
+    await waitForActive(PRIMARY_CONCURRENCY + 1);
+    const {processID, secretKey} = keyOfClient(client);
+    await cancel(processID, secretKey);
+    await outcome;
+    expect(ended).toEqual([]);
+    await Promise.all(
+      sleepers
+        .map(keyOfClient)
+        .map(key => cancel(key.processID, key.secretKey)),
+    );
+    const read = "SELECT id FROM claims WHERE id = 'waits'";
+    expect((await client.query(read)).rows).toEqual([]);
+    expect(ended).toEqual(sleepers.map(() => '57014'));
+  });
+
   it('stops nothing by a wrong secret', async () => {
     const client = await harness.connect();
     const sleeping = client.query('SELECT pg_sleep(0.3)');
--- a/test/telemetry/burn-report.test.ts
+++ b/test/telemetry/burn-report.test.ts
@@ -5,7 +5,7 @@
   type BurnRow,
 } from '../../src/telemetry/burn-report.js';
 import {StatementMetrics} from '../../src/telemetry/metrics.js';
-import {DONE} from '../../src/verdict/verdict.js';
+import {DONE, notRun} from '../../src/verdict/verdict.js';
 import {ManualClock} from '../admission/manual-clock.js';
 import {createReport, createSlice, NOW, OBJECTIVE, VMS} from './fixture.js';
 
@@ -55,6 +55,14 @@
     },
   );
 
+  test('counts no statement that its caller took back', () => {
+    const metrics = new StatementMetrics(new ManualClock(NOW));
+    const series = {team: 'members', group: 'claims', kind: 'read'} as const;
+    const verdict = notRun('cancelled', 'why');
+    metrics.observe({...series, verdict, elapsedMs: 1, servedBy: undefined});
+    expect(metrics.slices(0)).toEqual([]);
+  });
+
   test('keeps refusals over the rate apart from unavailability', () => {
     const row = rowOf('members');
     expect(row).toMatchObject({statements: 84, overRate: 30, wrongful: 4});
--- a/test/verdict/sqlstate.test.ts
+++ b/test/verdict/sqlstate.test.ts
@@ -16,6 +16,7 @@
   rateLimited: '53400',
   budgetUnavailable: '57P03',
   overloaded: '53300',
+  cancelled: '57014',
   noPrimary: '57P03',
   staleReplicas: '57P03',
   targetUnavailable: '57P03',
