--- a/test/fakes/virtual-clock.ts
+++ b/test/fakes/virtual-clock.ts
@@ -100,6 +100,14 @@
     return done();
   }
 
+  /** Moves time on by `ms`; what the promise gave by then, if it did. */
+  async outcome<T>(promise: Promise<T>, ms: number): Promise<T | undefined> {
+    let value: T | undefined;
+    void promise.then(result => (value = result));
+    await this.advance(ms);
+    return value;
+  }
+
   /** Lets pending promises and immediates run without moving time. */
   async settle(): Promise<void> {
     for (let turn = 0; turn < this.#settleTurns; turn++) {
