--- a/src/home/database-lane.ts
+++ b/src/home/database-lane.ts
@@ -2,25 +2,20 @@
  * The way to one database: a fair queue in front of a small set of
  * connections. A slot is a connection together with the right to use it.
  */
-import {serialize} from 'pg-protocol';
+import {ConcurrencyLimit} from '../admission/concurrency-limit.js';
 import {FairQueue} from '../admission/fair-queue.js';
 import type {DatabaseSpec} from '../groups/types.js';
 import type {Clock} from '../platform/clock.js';
 import {startTimer} from '../platform/timer.js';
 import {TargetError, type TargetConnection} from '../targets/types.js';
 import {notRun, type NotRun} from '../verdict/verdict.js';
-import type {Priority} from './types.js';
+import {IdleConnections} from './idle-connections.js';
+import {CANCELLED, type Priority} from './types.js';
 
-/** Statements sent beyond the database's slots, so that none stands idle. */
-const EXTRA_CONCURRENCY = 1;
 /** Weight of the newest sample in the average cost of a statement. */
 const COST_SMOOTHING = 0.1;
 const INITIAL_COST_MS = 2;
 const RECONNECT_RETRY_MS = 100;
-/** A connection unused for longer is asked for a sign of life first. */
-const VALIDATE_AFTER_MS = 1_000;
-const VALIDATE_TIMEOUT_MS = 300;
-const IGNORE_ANSWER = {onFrames: () => {}};
 /** Connections that open transactions may not take from other work. */
 const UNPINNED_RESERVE = 2;
 
@@ -30,6 +25,8 @@
   readonly priority: Priority;
   /** When the caller gives up, on the node's monotonic clock. */
   readonly deadlineAt: number;
+  /** Aborts when the caller cancels what it wants the slot for. */
+  readonly cancelled: AbortSignal;
 }
 
 /** The outcome of asking for a slot. */
@@ -58,10 +55,7 @@
   readonly isReachable: () => boolean;
 }
 
-interface IdleConnection {
-  readonly connection: TargetConnection;
-  readonly since: number;
-}
+const CANCELLED_RESULT: SlotResult = {kind: 'refused', verdict: CANCELLED};
 
 interface Waiter {
   readonly req: SlotRequest;
@@ -72,13 +66,14 @@
  * Grants slots of one database, urgent work first, fairly between teams.
  *
  * @example
- * const result = await lane.acquire({team, priority: 'urgent', deadlineAt});
+ * const result = await lane.acquire({team, priority, deadlineAt, cancelled});
  * if (result.kind === 'granted') await result.slot.connection.run(frames, observer);
  */
 export class DatabaseLane {
   readonly #options: DatabaseLaneOptions;
   readonly #queue: FairQueue<Waiter>;
-  readonly #idle: IdleConnection[] = [];
+  readonly #concurrency: ConcurrencyLimit;
+  readonly #idle: IdleConnections;
   #running = 0;
   #pinned = 0;
   #costMs = INITIAL_COST_MS;
@@ -86,6 +81,11 @@
 
   constructor(options: DatabaseLaneOptions) {
     this.#options = options;
+    this.#idle = new IdleConnections(options.clock);
+    this.#concurrency = new ConcurrencyLimit({
+      slots: () => options.spec.slots,
+      connections: () => options.connectionShare() - this.#pinned,
+    });
     this.#queue = new FairQueue<Waiter>({
       clock: options.clock,
       weightOf: options.weightOf,
@@ -100,7 +100,7 @@
 
   /** Connections that are open. */
   get connections(): number {
-    return this.#idle.length + this.#running + this.#pinned;
+    return this.#idle.size + this.#running + this.#pinned;
   }
 
   /** Opens connections ahead of their use; failures are left to later. */
@@ -116,13 +116,14 @@
 
   /** Waits for a slot, or says at once that there will be none in time. */
   async acquire(req: SlotRequest): Promise<SlotResult> {
+    if (req.cancelled.aborted) return CANCELLED_RESULT;
     if (this.#closed) return this.#unavailable('is no longer in the group');
     if (!this.#options.isReachable()) {
       return this.#unavailable('does not answer');
     }
     if (this.#queue.size === 0 && this.#hasRoom) {
       this.#running++;
-      return this.#open();
+      return this.#open(req);
     }
     return this.#enqueue(req);
   }
@@ -130,13 +131,11 @@
   /** Opens nothing any more and closes what is idle. */
   close(): void {
     this.#closed = true;
-    for (const {connection} of this.#idle.splice(0)) connection.close();
+    this.#idle.closeAll();
   }
 
   get #limit(): number {
-    const {spec, connectionShare} = this.#options;
-    const room = connectionShare() - this.#pinned;
-    return Math.max(1, Math.min(spec.slots + EXTRA_CONCURRENCY, room));
+    return Math.max(1, this.#concurrency.value);
   }
 
   get #hasRoom(): boolean {
@@ -147,13 +146,18 @@
     const {clock} = this.#options;
     return new Promise(resolve => {
       const leftMs = req.deadlineAt - clock.now();
-      const cancel = startTimer(clock, leftMs, () => {
+      const stopTimer = startTimer(clock, leftMs, () => {
         if (this.#queue.remove(waiter)) settle(this.#overloaded(this.#costMs));
       });
+      const onCancel = () => {
+        if (this.#queue.remove(waiter)) settle(CANCELLED_RESULT);
+      };
       const settle = (result: SlotResult) => {
-        cancel();
+        stopTimer();
+        req.cancelled.removeEventListener('abort', onCancel);
         resolve(result);
       };
+      req.cancelled.addEventListener('abort', onCancel);
       const waiter: Waiter = {req, settle};
       const offered = this.#queue.offer(waiter, {
         team: req.team,
@@ -168,11 +172,16 @@
   }
 
   /** Takes an idle connection or opens one; `#running` is counted already. */
-  async #open(): Promise<SlotResult> {
+  async #open({cancelled}: SlotRequest): Promise<SlotResult> {
     try {
       const connection =
-        (await this.#reuse()) ?? (await this.#options.connect());
-      return {kind: 'granted', slot: this.#slot(connection)};
+        (await this.#idle.take()) ?? (await this.#options.connect());
+      if (!cancelled.aborted) {
+        return {kind: 'granted', slot: this.#slot(connection)};
+      }
+      this.#keep(connection);
+      this.#leave();
+      return CANCELLED_RESULT;
     } catch (err) {
       this.#leave();
       const reason = err instanceof TargetError ? err.message : String(err);
@@ -180,37 +189,6 @@
     }
   }
 
-  /** An idle connection that still answers. */
-  async #reuse(): Promise<TargetConnection | undefined> {
-    for (;;) {
-      const idle = this.#idle.pop();
-      if (idle === undefined) return undefined;
-      const {connection, since} = idle;
-      if (!connection.usable) continue;
-      const idleMs = this.#options.clock.now() - since;
-      if (idleMs < VALIDATE_AFTER_MS) return connection;
-      if (await this.#answers(connection)) return connection;
-      // What made this one silent is likely to have taken the others along.
-      for (const other of this.#idle.splice(0)) other.connection.close();
-    }
-  }
-
-  /** Whether a connection answers; something between may have lost it. */
-  async #answers(connection: TargetConnection): Promise<boolean> {
-    const {clock} = this.#options;
-    const cancel = startTimer(clock, VALIDATE_TIMEOUT_MS, () =>
-      connection.close(),
-    );
-    try {
-      await connection.run(serialize.sync(), IGNORE_ANSWER);
-      return connection.usable;
-    } catch {
-      return false;
-    } finally {
-      cancel();
-    }
-  }
-
   #slot(connection: TargetConnection): Slot {
     const startedAt = this.#options.clock.now();
     let pinned = false;
@@ -247,7 +225,7 @@
     const fits = this.connections < this.#options.connectionShare() + 1;
     const clean = connection.usable && connection.transaction === 'idle';
     if (!clean || !fits || this.#closed) return connection.close();
-    this.#idle.push({connection, since: this.#options.clock.now()});
+    this.#idle.add(connection);
   }
 
   #leave(): void {
@@ -264,7 +242,8 @@
         continue;
       }
       this.#running++;
-      void this.#open().then(taken.item.settle);
+      const {req, settle} = taken.item;
+      void this.#open(req).then(settle);
     }
   }
 
