--- a/src/home/read-loop.ts
+++ b/src/home/read-loop.ts
@@ -3,6 +3,7 @@
 import {mayHaveRun, notRun} from '../verdict/verdict.js';
 import type {GroupDatabases} from './group-databases.js';
 import type {ReadOutcome, ReadPath} from './read-path.js';
+import {ReadRace, type ReadEntrant} from './read-race.js';
 import {
   failedResult,
   type ExecRequest,
@@ -16,11 +17,6 @@
 const HOPELESS_RETRY_MS = 2_000;
 /** The least time in which a read can still succeed. */
 const MIN_ATTEMPT_MS = 5;
-/**
- * The part of the time left that a first try may run. A connection can go
- * silent without a sign; what is left then is for another database.
- */
-const FIRST_ATTEMPT_SHARE = 0.4;
 
 /** What the loop is built from. */
 export interface ReadLoopOptions {
@@ -29,7 +25,22 @@
   readonly retries: RetryBudget;
 }
 
-/** Serves reads on one group. */
+/** One read and its tries. */
+interface Read {
+  readonly req: ExecRequest;
+  readonly deadlineAt: number;
+  /** Aborts when the caller is gone. */
+  readonly signal: AbortSignal;
+  readonly race: ReadRace;
+}
+
+/**
+ * Serves reads on one group.
+ *
+ * A connection can go silent without a sign, and a read can just be slow. A
+ * read without an answer for a part of its time is therefore hedged: it starts
+ * at another database, or on another connection, while the first try goes on.
+ */
 export class ReadLoop {
   readonly #options: ReadLoopOptions;
 
@@ -44,36 +55,71 @@
     deadlineAt: number,
     signal: AbortSignal,
   ): Promise<ExecResult> {
-    const {databases, path, retries} = this.#options;
-    const avoid = new Set<string>();
-    retries.deposit();
-    for (let share = FIRST_ATTEMPT_SHARE; ; share = 1) {
-      const attempt = {req, sink, deadlineAt, runShare: share, avoid};
-      const outcome = await path.attempt(attempt);
-      if (outcome.result.verdict.kind === 'done') return outcome.result;
-      if (outcome.forwarded) return failedResult(brokenOff());
-      const final = this.#finalResult(outcome, deadlineAt, signal);
-      if (final !== undefined) return final;
-      if (outcome.databaseId !== undefined) {
-        avoid.add(outcome.databaseId);
-        continue;
+    const race = new ReadRace(sink);
+    const read = {req, deadlineAt, signal, race};
+    this.#options.retries.deposit();
+    const hedges: Promise<ExecResult>[] = [];
+    const onSlow = (databaseId: string) => {
+      if (hedges.length > 0 || !this.#mayHedge(read)) return;
+      const avoid = new Set([databaseId]);
+      hedges.push(this.#tryUntilFinal(read, race.enter(), avoid, () => {}));
+    };
+    const first = race.enter();
+    const result = await this.#tryUntilFinal(read, first, new Set(), onSlow);
+    const [hedge] = hedges;
+    if (hedge === undefined || race.winner === first) return result;
+    const other = await hedge;
+    if (race.winner !== undefined) return other;
+    return other.verdict.kind === 'mayHaveRun' ? other : result;
+  }
+
+  #mayHedge({signal, race}: Read): boolean {
+    if (signal.aborted || race.winner !== undefined) return false;
+    return this.#options.retries.tryWithdraw();
+  }
+
+  async #tryUntilFinal(
+    read: Read,
+    entrant: ReadEntrant,
+    avoid: Set<string>,
+    onSlow: (databaseId: string) => void,
+  ): Promise<ExecResult> {
+    const {databases, path} = this.#options;
+    const {req, deadlineAt, signal} = read;
+    const attempt = {req, deadlineAt, avoid, onSlow, ...entrant};
+    try {
+      for (;;) {
+        const outcome = await path.attempt(attempt);
+        if (outcome.result.verdict.kind === 'done') return outcome.result;
+        if (outcome.forwarded) return failedResult(brokenOff());
+        const final = this.#finalResult(outcome, read, entrant);
+        if (final !== undefined) return final;
+        if (outcome.databaseId !== undefined) {
+          avoid.add(outcome.databaseId);
+          continue;
+        }
+        avoid.clear();
+        await databases.waitForChange(CHANGE_WAIT_MS, signal);
       }
-      avoid.clear();
-      await databases.waitForChange(CHANGE_WAIT_MS, signal);
+    } finally {
+      read.race.leave(entrant);
     }
   }
 
   /** The result if another try is not allowed or of no use. */
   #finalResult(
     outcome: ReadOutcome,
-    deadlineAt: number,
-    signal: AbortSignal,
+    {deadlineAt, signal, race}: Read,
+    entrant: ReadEntrant,
   ): ExecResult | undefined {
     const {databases, retries} = this.#options;
-    const {result, sent} = outcome;
+    const {result, sent, databaseId} = outcome;
     if (signal.aborted || !isRetryable(result.verdict, true)) return result;
     if (deadlineAt - databases.clock.now() < MIN_ATTEMPT_MS) return result;
-    if (databases.isHopeless && outcome.databaseId === undefined) {
+    if (entrant.signal.aborted) return result;
+    // The other entrant is the next try.
+    if (databaseId !== undefined && race.isContested) return result;
+    if (databases.isHopeless && databaseId === undefined) {
       const message = `too few databases of group ${databases.spec.name} answer`;
       return failedResult(notRun('noPrimary', message, HOPELESS_RETRY_MS));
     }
--- a/src/home/read-path.ts
+++ b/src/home/read-path.ts
@@ -15,6 +15,8 @@
 /** How long a read waits for a replica rather than go to the primary. */
 const MAX_REPLICA_WAIT_MS = 20;
 const PRIMARY_RETRY_MS = 200;
+/** The part of the time left, once it has a slot, after which a run is slow. */
+const SLOW_SHARE = 0.4;
 
 /** What a read path is built from. */
 export interface ReadPathOptions {
@@ -27,10 +29,12 @@
   readonly req: ExecRequest;
   readonly sink: PartSink;
   readonly deadlineAt: number;
-  /** The part of the time left, once it has a slot, that it may run. */
-  readonly runShare: number;
   /** Databases that failed this read before. */
   readonly avoid: ReadonlySet<string>;
+  /** Aborts when the answer is not wanted any more. */
+  readonly signal: AbortSignal;
+  /** Called when it has run for long and given no part of an answer. */
+  readonly onSlow: (databaseId: string) => void;
 }
 
 /** The outcome of one attempt, and the database to avoid next. */
@@ -105,6 +109,10 @@
     if (acquired.kind === 'refused')
       return failed(acquired.verdict, databaseId);
     const {slot} = acquired;
+    if (attempt.signal.aborted) {
+      slot.release();
+      return failed(notWanted(), databaseId);
+    }
     const current =
       role === 'primary'
         ? this.#confirmTerm(databaseId, deadlineAt)
@@ -117,7 +125,12 @@
         connection: slot.connection,
         frames: req.frames,
         observer: answer,
-        deadlineAt: now + (deadlineAt - now) * attempt.runShare,
+        deadlineAt,
+        signal: attempt.signal,
+        slowAt: now + (deadlineAt - now) * SLOW_SHARE,
+        onSlow: () => {
+          if (!answer.forwarded) attempt.onSlow(databaseId);
+        },
       });
       if (answer.stale) {
         return {...failed(staleVerdict(databaseId), databaseId), sent: true};
@@ -191,6 +204,10 @@
   );
 }
 
+function notWanted(): Verdict {
+  return notRun('targetUnavailable', 'another try answered the read', 0);
+}
+
 function staleVerdict(databaseId: string): Verdict {
   return notRun(
     'staleReplicas',
--- a/src/home/statement-runs.ts
+++ b/src/home/statement-runs.ts
@@ -20,6 +20,11 @@
   readonly observer: AnswerObserver;
   /** When nobody waits any more, on the node's monotonic clock. */
   readonly deadlineAt: number;
+  /** Aborts when nobody waits any more before the deadline. */
+  readonly signal?: AbortSignal;
+  /** When to call `onSlow`, if the batch still runs then. */
+  readonly slowAt?: number;
+  readonly onSlow?: () => void;
 }
 
 /** Runs batches no longer than somebody waits for them. */
@@ -33,40 +38,64 @@
   }
 
   /**
-   * Runs a batch; past the deadline it is cancelled and the connection closed,
-   * so that an answer nobody waits for can never meet another request and the
-   * database does not go on working for nobody.
+   * Runs a batch; once nobody waits for it, it is cancelled and the connection
+   * closed, so that an answer nobody waits for can never meet another request
+   * and the database does not go on working for nobody.
    *
-   * @throws TargetError `lost` when the deadline passed or the connection ended
+   * @throws TargetError `lost` when nobody waits or the connection ended
    */
   async run(run: StatementRun): Promise<BatchEnd> {
-    const {connection, frames, observer} = run;
+    const {connection, frames, observer, signal} = run;
     const cancels: Promise<void>[] = [];
-    let expired = false;
-    const leftMs = run.deadlineAt - this.#clock.now();
-    let stopTimer = startTimer(this.#clock, leftMs, () => {
-      expired = true;
+    let given: string | undefined;
+    const giveUp = (reason: string) => {
+      if (given !== undefined) return;
+      given = reason;
+      stopTimer();
       cancels.push(connection.cancel());
       stopTimer = startTimer(this.#clock, CANCEL_GRACE_MS, () =>
         connection.close(),
       );
-    });
+    };
+    const onAbort = () => giveUp('its answer is not wanted any more');
+    let stopTimer = this.#startTimers(run, giveUp);
+    signal?.addEventListener('abort', onAbort, {once: true});
     this.#running.set(run, cancels);
     try {
       const end = await connection.run(frames, {
         onStart: position => observer.onStart?.(position) ?? true,
-        onFrames: part => (expired ? undefined : observer.onFrames(part)),
+        onFrames: part =>
+          given === undefined ? observer.onFrames(part) : undefined,
       });
-      if (!expired) return end;
+      if (given === undefined) return end;
     } catch (err) {
-      if (!expired) throw err;
+      if (given === undefined) throw err;
     } finally {
       stopTimer();
+      signal?.removeEventListener('abort', onAbort);
       this.#running.delete(run);
       // A cancel request still on its way would stop the next batch instead.
       if (connection.usable) await Promise.all(cancels);
     }
-    throw new TargetError('lost', 'no answer came within the deadline');
+    throw new TargetError('lost', given ?? '');
+  }
+
+  /** One timer at a time: nearly all are cancelled. */
+  #startTimers(
+    {slowAt, onSlow, deadlineAt}: StatementRun,
+    giveUp: (reason: string) => void,
+  ): () => void {
+    const clock = this.#clock;
+    const untilDeadline = () =>
+      startTimer(clock, deadlineAt - clock.now(), () =>
+        giveUp('no answer came within the deadline'),
+      );
+    if (slowAt === undefined) return untilDeadline();
+    let stop = startTimer(clock, slowAt - clock.now(), () => {
+      stop = untilDeadline();
+      onSlow?.();
+    });
+    return () => stop();
   }
 
   /** Asks the database to stop what a session runs. */
