--- a/src/home/group-home.ts
+++ b/src/home/group-home.ts
@@ -16,6 +16,8 @@
 export interface GroupHomeOptions extends GroupDatabasesOptions {
   /** The group's row of the table in force. */
   readonly row: () => GroupRow | undefined;
+  /** How long a read may wait for a replica rather than go to the primary. */
+  readonly replicaWaitMs: number;
 }
 
 /**
@@ -49,6 +51,7 @@
         const row = options.row();
         return {old: row?.oldWeight ?? 1, new: row?.newWeight ?? 0};
       },
+      maxWaitMs: options.replicaWaitMs,
     });
     this.#reads = new ReadLoop({databases, path, retries: new RetryBudget()});
     this.#writes = new WritePath({
--- a/src/home/home-service.ts
+++ b/src/home/home-service.ts
@@ -39,6 +39,8 @@
   readonly groups: () => readonly GroupSpec[];
   readonly row: (group: string) => GroupRow | undefined;
   readonly weightOf: (team: string) => number;
+  /** How long a read may wait for a replica rather than go to the primary. */
+  readonly replicaWaitMs: number;
   /** Whether this VM is the first choice as the group's home. */
   readonly isFirstHome: (group: string) => boolean;
   readonly onFailover: (group: string, event: FailoverEvent) => void;
--- a/src/home/read-path.ts
+++ b/src/home/read-path.ts
@@ -12,8 +12,6 @@
   type PartSink,
 } from './types.js';
 
-/** How long a read waits for a replica rather than go to the primary. */
-const MAX_REPLICA_WAIT_MS = 20;
 const PRIMARY_RETRY_MS = 200;
 /** The part of the time left, once it has a slot, after which a run is slow. */
 const SLOW_SHARE = 0.4;
@@ -22,6 +20,8 @@
 export interface ReadPathOptions {
   readonly databases: GroupDatabases;
   readonly weights: () => ProviderWeights;
+  /** How long a read may wait for a replica rather than go to the primary. */
+  readonly maxWaitMs: number;
 }
 
 /** One read and where its answer goes. */
@@ -58,7 +58,7 @@
   /** Tries a read once. Never rejects. */
   async attempt(attempt: ReadAttempt): Promise<ReadOutcome> {
     const {databases} = this.#options;
-    let choice = this.#choose(attempt, MAX_REPLICA_WAIT_MS);
+    let choice = this.#choose(attempt, this.#options.maxWaitMs);
     if (choice.kind === 'wait') {
       await databases.clock.sleep(choice.expectedMs);
       const again = this.#choose(attempt, 0);
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -1,6 +1,7 @@
 /** The node's settings: flags and `ZINNIA_*` variables, checked once. */
 import {z} from 'zod';
 import type {PeerAddress} from '../peers/types.js';
+import {DEFAULT_MAX_WAIT_MS} from '../routing/replica-choice.js';
 
 /** How one setting is named and described. */
 export interface SettingInfo {
@@ -92,6 +93,11 @@
     fallback: '3000',
     text: 'Milliseconds without contact after which a node refuses keyed work.',
   },
+  replicaWaitMs: {
+    check: z.coerce.number().int().min(0).max(60_000),
+    fallback: String(DEFAULT_MAX_WAIT_MS),
+    text: "Milliseconds a read may wait for a replica to show its session's writes before it goes to the primary.",
+  },
   drainMs: {
     check: milliseconds,
     fallback: '30000',
--- a/test/callers/harness.ts
+++ b/test/callers/harness.ts
@@ -14,6 +14,7 @@
 import {HomeService} from '../../src/home/home-service.js';
 import {SystemClock, SystemRandom} from '../../src/platform/clock.js';
 import {createClassifier} from '../../src/routing/classify.js';
+import {DEFAULT_MAX_WAIT_MS} from '../../src/routing/replica-choice.js';
 import {TokenSigner} from '../../src/session/token-signer.js';
 import {PgDatabaseControl} from '../../src/targets/database-control.js';
 import {PgTargetConnection} from '../../src/targets/pg-connection.js';
@@ -221,6 +222,7 @@
         open: false,
       }),
       weightOf: () => 1,
+      replicaWaitMs: DEFAULT_MAX_WAIT_MS,
       isFirstHome: () => true,
       onFailover: () => {},
     });
