--- a/src/home/read-loop.ts
+++ b/src/home/read-loop.ts
@@ -113,7 +113,7 @@
     entrant: ReadEntrant,
   ): ExecResult | undefined {
     const {databases, retries} = this.#options;
-    const {result, sent, databaseId} = outcome;
+    const {result, lost, databaseId} = outcome;
     if (signal.aborted || !isRetryable(result.verdict, true)) return result;
     if (deadlineAt - databases.clock.now() < MIN_ATTEMPT_MS) return result;
     if (entrant.signal.aborted) return result;
@@ -123,8 +123,9 @@
       const message = `too few databases of group ${databases.spec.name} answer`;
       return failedResult(notRun('noPrimary', message, HOPELESS_RETRY_MS));
     }
-    // What never reached a database adds no load, so it is not counted.
-    if (sent && !retries.tryWithdraw()) return result;
+    // What reached no database adds no load, and a replica that falls short
+    // is left at once: neither is counted.
+    if (lost && !retries.tryWithdraw()) return result;
     return undefined;
   }
 }
--- a/src/home/read-path.ts
+++ b/src/home/read-path.ts
@@ -41,8 +41,8 @@
 export interface ReadOutcome {
   readonly result: ExecResult;
   readonly databaseId: string | undefined;
-  /** Whether the read reached a database. */
-  readonly sent: boolean;
+  /** Whether the read was sent and no answer came. */
+  readonly lost: boolean;
   /** Whether the caller has received a part of the answer. */
   readonly forwarded: boolean;
 }
@@ -133,13 +133,13 @@
         },
       });
       if (answer.stale) {
-        return {...failed(staleVerdict(databaseId), databaseId), sent: true};
+        return failed(staleVerdict(databaseId), databaseId);
       }
       const verdict = (await current) ?? DONE;
       if (verdict.kind === 'done') await answer.flush();
       return {
         databaseId,
-        sent: true,
+        lost: false,
         forwarded: answer.forwarded,
         result: {
           verdict,
@@ -152,9 +152,9 @@
       };
     } catch (err) {
       const verdict = lostVerdict(err, databaseId);
-      const sent = verdict.kind === 'mayHaveRun';
+      const lost = verdict.kind === 'mayHaveRun';
       const {forwarded} = answer;
-      return {...failed(verdict, databaseId), sent, forwarded};
+      return {...failed(verdict, databaseId), lost, forwarded};
     } finally {
       slot.release();
     }
@@ -191,7 +191,7 @@
   return {
     result: failedResult(verdict),
     databaseId,
-    sent: false,
+    lost: false,
     forwarded: false,
   };
 }
