--- a/src/home/home-service.ts
+++ b/src/home/home-service.ts
@@ -60,6 +60,7 @@
   readonly #outgoing = new Set<GroupHome>();
   readonly #stopping = new AbortController();
   #draining = false;
+  #refusesPeers = false;
 
   constructor(options: HomeServiceOptions) {
     this.#options = options;
@@ -87,6 +88,11 @@
     void this.#reviewRegularly();
   }
 
+  /** Takes no new work of other VMs; their open transactions go on. */
+  refusePeers(): void {
+    this.#refusesPeers = true;
+  }
+
   /** Takes no new work and waits for what runs, `drainMs` at most. */
   async drain(drainMs: number): Promise<void> {
     this.#draining = true;
@@ -114,9 +120,7 @@
     sink: PartSink,
     signal: AbortSignal,
   ): Promise<ExecResult> {
-    if (this.#draining && req.pin === undefined) {
-      return failedResult(notRun('shuttingDown', 'this home is closing', 0));
-    }
+    if (this.#draining && req.pin === undefined) return closing();
     const home = this.#homeFor(req);
     if (home === undefined) {
       const message = `the platform lists no group ${req.group}`;
@@ -215,6 +219,7 @@
         notRun('badRequest', 'a peer sent a malformed batch'),
       );
     }
+    if (this.#refusesPeers && body.pin === undefined) return closing();
     return this.execute(body, frames => ctx.send(frames), ctx.signal);
   }
 
@@ -254,6 +259,10 @@
   }
 }
 
+function closing(): ExecResult {
+  return failedResult(notRun('shuttingDown', 'this home is closing', 0));
+}
+
 function connectionShare(database: DatabaseSpec, isFirst: boolean): number {
   const share = isFirst ? FIRST_HOME_SHARE : OTHER_HOME_SHARE;
   return Math.max(MIN_CONNECTIONS, Math.floor(database.maxConnections * share));
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -126,12 +126,16 @@
     if (this.#draining) return;
     this.#draining = true;
     const {drainMs} = this.#settings;
+    const until = this.#clock.now() + drainMs;
+    const leftMs = () => Math.max(0, until - this.#clock.now());
     this.#log.info('shutdownStarted', {sessions: this.#callers.sessions});
     await this.#coordination.leave();
-    const cut = await this.#callers.drain(drainMs);
-    await this.#homes.drain(drainMs);
+    // Work of other nodes that began before has as long as the callers here.
+    this.#homes.refusePeers();
+    const cut = await this.#callers.drain(leftMs());
+    await this.#homes.drain(leftMs());
     await this.#budgets.stop();
-    await this.#peerServer.close();
+    await this.#peerServer.close(leftMs());
     await this.stop();
     this.#log.info('shutdownFinished', {cut});
   }
--- /dev/null
+++ b/test/fleet/drain.test.ts
@@ -0,0 +1,38 @@
+import {afterEach, expect, test} from 'vitest';
+import type {Fleet} from '../../demo/fleet.js';
+import {connect, findHome, insert, startFleet} from './fixture.js';
+
+const DRAIN_MS = 1_500;
+/** What a shutdown may take besides: telling others, handing shares back. */
+const REST_MS = 1_000;
+/** New work of another node, which the leaving home hands on at once. */
+const WRITES = 5;
+
+let fleet: Fleet | undefined;
+
+afterEach(async () => {
+  await fleet?.stop();
+  fleet = undefined;
+});
+
+test('a shutdown takes its drain time once, whoever leaves a transaction open', async () => {
+  fleet = await startFleet({env: {ZINNIA_DRAIN_MS: String(DRAIN_MS)}});
+  const [asked] = fleet.nodes;
+  const home = await findHome(fleet, asked!);
+  const other = fleet.nodes.find(node => node !== home);
+  for (const node of [home, other!]) {
+    const client = await connect(fleet, node);
+    await client.query('BEGIN');
+    await insert(client, `left-${node.vm}`);
+  }
+  const startedAt = performance.now();
+  home.process.signal('SIGTERM');
+  const client = await connect(fleet, other!);
+  for (let n = 0; n < WRITES; n++) await insert(client, `during-${n}`);
+  expect(performance.now() - startedAt).toBeLessThan(DRAIN_MS);
+  await home.process.exited();
+  const tookMs = performance.now() - startedAt;
+  expect(home.process.log).toMatch(/event=shutdownFinished .*cut=1/);
+  expect(tookMs).toBeGreaterThanOrEqual(DRAIN_MS);
+  expect(tookMs).toBeLessThan(DRAIN_MS + REST_MS);
+});
