--- a/bench/replicas.ts
+++ b/bench/replicas.ts
@@ -2,7 +2,8 @@
 import {checkPromises} from '../demo/checks.js';
 import {Fleet} from '../demo/fleet.js';
 import {measure} from '../demo/measures.js';
-import {TASMAN} from '../demo/profiles.js';
+import {TASMAN, type Profile} from '../demo/profiles.js';
+import type {LoadRecord} from '../demo/record.js';
 import {MIXED, type LoadMix} from '../demo/session-load.js';
 import {fixed, formatTable, pause, percent, quantile} from './figures.js';
 import {RunningLoad} from './load.js';
@@ -16,6 +17,9 @@
   () => 25,
   lagMs => lagMs + 50,
 ];
+/** A small fleet, since its own processes compete for the machine. */
+const PROFILE: Profile = {...TASMAN, groups: TASMAN.groups.slice(0, 1)};
+const NODES = 3;
 const RUN_MS = 6_000;
 const STALE_MS = 5_000;
 const TEAM = 'lodgements';
@@ -52,14 +56,15 @@
   waitMs: number,
 ): Promise<string[]> {
   const fleet = await Fleet.start({
-    profile: TASMAN,
+    profile: PROFILE,
+    nodes: NODES,
     lagMs,
     staleMs: STALE_MS,
     teams: [{name: TEAM, rate: 100_000, burst: 100_000}],
     env: {ZINNIA_REPLICA_WAIT_MS: String(waitMs)},
   });
   try {
-    const group = TASMAN.groups[0] ?? '';
+    const group = PROFILE.groups[0] ?? '';
     const load = new RunningLoad({
       fleet,
       group,
@@ -70,7 +75,7 @@
     });
     await pause(RUN_MS);
     const record = await load.stop();
-    const measures = await measure(fleet, record, TASMAN.teams, group);
+    const measures = await measure(fleet, record, PROFILE.teams, group);
     const checks = await checkPromises(fleet, record);
     const stale = checks.find(({promise}) => promise.includes('own writes'));
     const reads = record.completions
@@ -82,7 +87,7 @@
       String(waitMs),
       percent(measures.replicaShare),
       String(stale?.violations.length ?? 0),
-      String(record.failures.length),
+      refusalsOf(record),
       fixed(reads.length / (RUN_MS / 1_000)),
       fixed(quantile(reads, 0.5), 1),
       fixed(quantile(reads, 0.99), 1),
@@ -93,6 +98,15 @@
   }
 }
 
+/** How many statements failed, by SQLSTATE. */
+function refusalsOf({failures}: LoadRecord): string {
+  const codes = [...new Set(failures.map(({sqlstate}) => sqlstate))];
+  const counts = codes.map(
+    code => `${failures.filter(f => f.sqlstate === code).length} ${code}`,
+  );
+  return counts.join(', ') || '0';
+}
+
 /** The share of the group's statements that its primary ran. */
 async function primaryShare(fleet: Fleet, group: string): Promise<number> {
   const primary = await fleet.findPrimary(group);
--- a/demo/session-load.ts
+++ b/demo/session-load.ts
@@ -11,6 +11,8 @@
 export interface LoadMix {
   readonly writes: number;
   readonly transactions: number;
+  /** Whether transactions read before they write. */
+  readonly readsInTransactions?: boolean;
 }
 
 /** One write in five, one transaction in twenty. */
@@ -162,6 +164,7 @@
     const sql = 'INSERT INTO entries (id, team, value) VALUES ($1, $2, $3)';
     const began = await this.#query(client, 'write', 'BEGIN', []);
     if (began === undefined) return;
+    if (this.#options.mix?.readsInTransactions) await this.#readBack(client);
     const one = await this.#query(client, 'write', sql, [first, team, '1']);
     const two =
       one && (await this.#query(client, 'write', sql, [second, team, '2']));
