--- a/src/home/read-path.ts
+++ b/src/home/read-path.ts
@@ -7,30 +7,34 @@
 import type {GroupDatabases} from './group-databases.js';
 import {failedResult, type ExecAttempt, type ExecResult} from './types.js';
 
-/** How long a read waits for a replica rather than go to the primary. */
-const MAX_REPLICA_WAIT_MS = 20;
 const PRIMARY_RETRY_MS = 200;
+/** The part of the time left, once it has a slot, after which a run is slow. */
+const SLOW_SHARE = 0.4;
 
 /** What a read path is built from. */
 export interface ReadPathOptions {
   readonly databases: GroupDatabases;
   readonly weights: () => ProviderWeights;
+  /** How long a read may wait for a replica rather than go to the primary. */
+  readonly maxWaitMs: number;
 }
 
-/** One try of a read. */
+/** One read and where its answer goes. */
 export interface ReadAttempt extends ExecAttempt {
-  /** The part of the time left, once it has a slot, that it may run. */
-  readonly runShare: number;
   /** Databases that failed this read before. */
   readonly avoid: ReadonlySet<string>;
+  /** Aborts when the answer is not wanted any more. */
+  readonly signal: AbortSignal;
+  /** Called when it has run for long and given no part of an answer. */
+  readonly onSlow: (databaseId: string) => void;
 }
 
 /** The outcome of one attempt, and the database to avoid next. */
 export interface ReadOutcome {
   readonly result: ExecResult;
   readonly databaseId: string | undefined;
-  /** Whether the read reached a database. */
-  readonly sent: boolean;
+  /** Whether the read was sent and no answer came. */
+  readonly lost: boolean;
   /** Whether the caller has received a part of the answer. */
   readonly forwarded: boolean;
 }
@@ -46,7 +50,7 @@
   /** Tries a read once. Never rejects. */
   async attempt(attempt: ReadAttempt): Promise<ReadOutcome> {
     const {databases} = this.#options;
-    let choice = this.#choose(attempt, MAX_REPLICA_WAIT_MS);
+    let choice = this.#choose(attempt, this.#options.maxWaitMs);
     if (choice.kind === 'wait') {
       await databases.clock.sleep(choice.expectedMs);
       const again = this.#choose(attempt, 0);
@@ -102,6 +106,10 @@
     if (acquired.kind === 'refused')
       return failed(acquired.verdict, databaseId);
     const {slot} = acquired;
+    if (attempt.signal.aborted) {
+      slot.release();
+      return failed(notWanted(), databaseId);
+    }
     const current =
       role === 'primary'
         ? this.#confirmTerm(databaseId, deadlineAt)
@@ -114,16 +122,21 @@
         connection: slot.connection,
         frames: req.frames,
         observer: answer,
-        deadlineAt: now + (deadlineAt - now) * attempt.runShare,
+        deadlineAt,
+        signal: attempt.signal,
+        slowAt: now + (deadlineAt - now) * SLOW_SHARE,
+        onSlow: () => {
+          if (!answer.forwarded) attempt.onSlow(databaseId);
+        },
       });
       if (answer.stale) {
-        return {...failed(staleVerdict(databaseId), databaseId), sent: true};
+        return failed(staleVerdict(databaseId), databaseId);
       }
       const verdict = (await current) ?? DONE;
       if (verdict.kind === 'done') await answer.flush();
       return {
         databaseId,
-        sent: true,
+        lost: false,
         forwarded: answer.forwarded,
         result: {
           verdict,
@@ -136,9 +149,9 @@
       };
     } catch (err) {
       const verdict = lostVerdict(err, databaseId);
-      const sent = verdict.kind === 'mayHaveRun';
+      const lost = verdict.kind === 'mayHaveRun';
       const {forwarded} = answer;
-      return {...failed(verdict, databaseId), sent, forwarded};
+      return {...failed(verdict, databaseId), lost, forwarded};
     } finally {
       slot.release();
     }
@@ -175,7 +188,7 @@
   return {
     result: failedResult(verdict),
     databaseId,
-    sent: false,
+    lost: false,
     forwarded: false,
   };
 }
@@ -188,6 +201,10 @@
   );
 }
 
+function notWanted(): Verdict {
+  return notRun('targetUnavailable', 'another try answered the read', 0);
+}
+
 function staleVerdict(databaseId: string): Verdict {
   return notRun(
     'staleReplicas',
