--- a/src/cli/group-api.ts
+++ b/src/cli/group-api.ts
@@ -118,7 +118,7 @@
       const body: unknown = await res.json();
       if (res.ok) return {kind: 'answered', result: switchSchema.parse(body)};
       const reason = readError(body);
-      // Only 404 is given before the order; a 400 may come from the home.
+      // Only 404 is sure to be given before the order.
       if (res.status === 404) return {kind: 'rejected', reason};
       return {kind: 'unknown', reason};
     } catch (err) {
--- a/src/node/admin-routes.ts
+++ b/src/node/admin-routes.ts
@@ -1,4 +1,6 @@
 /** What a node tells operators, and what they can order from it. */
+import {WHOLE_UNITS} from '../admission/share.js';
+import type {BudgetStatus} from '../admission/types.js';
 import type {HomeService} from '../home/home-service.js';
 import {HOME_METHODS} from '../home/messages.js';
 import {toPeerAddress} from '../membership/known-vm.js';
@@ -6,7 +8,12 @@
 import type {Member} from '../membership/member.js';
 import type {PeerCaller} from '../peers/types.js';
 import type {StatementMetrics} from '../telemetry/metrics.js';
-import type {AdminAnswer, AdminRequest, AdminRoute} from './admin-server.js';
+import {
+  AdminInputError,
+  type AdminAnswer,
+  type AdminRequest,
+  type AdminRoute,
+} from './admin-server.js';
 import type {LiveConfig} from './live-config.js';
 import type {RenewableBudgets} from './renewable-budgets.js';
 
@@ -35,7 +42,7 @@
     ['GET /ready', () => ready(deps)],
     ['GET /versions', () => ok(versions(deps))],
     ['GET /members', () => ok(deps.coordination.members.all())],
-    ['GET /budgets', () => ok(deps.budgets.status())],
+    ['GET /budgets', () => ok(deps.budgets.status().map(formatBudget))],
     ['GET /groups', () => ok(groups(deps))],
     ['GET /metrics', () => ok(usage(deps))],
     ['GET /statements', req => statements(deps, req)],
@@ -98,22 +105,34 @@
 }
 
 function statements(deps: AdminDeps, req: AdminRequest): AdminAnswer {
-  const since = Number(req.query.get('since') ?? '0');
-  if (!Number.isFinite(since)) {
-    const error = 'since takes milliseconds since the epoch';
-    return {status: 400, body: {error}};
+  const since = req.query.get('since') ?? '0';
+  if (!/^\d{1,15}$/.test(since)) {
+    const remedy = 'send milliseconds since the Unix epoch, a whole number';
+    throw new AdminInputError('since', `since is no time: ${since}`, remedy);
   }
-  return ok({vm: deps.vm, slices: deps.metrics.slices(since)});
+  return ok({vm: deps.vm, slices: deps.metrics.slices(Number(since))});
+}
+
+/** The shares as parts of the whole, which is 1. */
+function formatBudget(budget: BudgetStatus) {
+  const {share, tokens} = budget;
+  return {
+    ...budget,
+    share: {rate: partOf(share.rate), burst: partOf(share.burst)},
+    tokens: Number(tokens.toFixed(1)),
+  };
+}
+
+function partOf(units: number): number {
+  return Number((units / WHOLE_UNITS).toFixed(4));
 }
 
 async function switchPrimary(
   deps: AdminDeps,
   req: AdminRequest,
 ): Promise<AdminAnswer> {
-  const {group, databaseId} = (req.body ?? {}) as Record<string, unknown>;
-  if (typeof group !== 'string' || typeof databaseId !== 'string') {
-    return {status: 400, body: {error: 'name a group and a databaseId'}};
-  }
+  const group = readName(req.body, 'group');
+  const databaseId = readName(req.body, 'databaseId');
   if (deps.config.findGroup(group) === undefined) {
     return {status: 404, body: {error: `there is no group ${group}`}};
   }
@@ -126,3 +145,10 @@
   const method = HOME_METHODS.switchPrimary;
   return ok(await deps.peers.call(toPeerAddress(home), method, body, options));
 }
+
+function readName(body: unknown, field: string): string {
+  const value = ((body ?? {}) as Readonly<Record<string, unknown>>)[field];
+  if (typeof value === 'string' && value !== '') return value;
+  const remedy = 'send {"group": "...", "databaseId": "..."}';
+  throw new AdminInputError(field, `${field} is no name`, remedy);
+}
--- a/src/node/admin-server.ts
+++ b/src/node/admin-server.ts
@@ -22,7 +22,26 @@
   readonly body: unknown;
 }
 
-/** Serves one route, such as `GET /health`. */
+/** Input that its sender has to mend: answered with 400. */
+export class AdminInputError extends Error {
+  /**
+   * @param field the field of the query or the body; `body` for all of it
+   * @param remedy what to send instead
+   */
+  constructor(
+    readonly field: string,
+    message: string,
+    readonly remedy: string,
+  ) {
+    super(message);
+    this.name = 'AdminInputError';
+  }
+}
+
+/**
+ * Serves one route, such as `GET /health`. It throws {@link AdminInputError}
+ * for bad input; any other error is a fault of the node.
+ */
 export type AdminRoute = (
   req: AdminRequest,
 ) => AdminAnswer | Promise<AdminAnswer>;
@@ -61,36 +80,62 @@
   }
 
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const answer = await this.#answer(req).catch((err: unknown) => {
-      const message = err instanceof Error ? err.message : String(err);
-      this.#log.warn('adminRequestFailed', {url: req.url, message});
-      return {status: 400, body: {error: message}};
-    });
-    res.writeHead(answer.status, {'content-type': 'application/json'});
-    res.end(`${JSON.stringify(answer.body)}\n`);
+    const {status, text} = await this.#answer(req)
+      .then(toText)
+      .catch((err: unknown) => toText(this.#describe(req, err)));
+    res.writeHead(status, {'content-type': 'application/json'});
+    res.end(`${text}\n`);
   }
 
   async #answer(req: IncomingMessage): Promise<AdminAnswer> {
-    const url = new URL(req.url ?? '/', 'http://node');
-    const route = this.#routes.get(`${req.method} ${url.pathname}`);
+    const [path = '', query] = (req.url ?? '').split('?', 2);
+    const route = this.#routes.get(`${req.method} ${path}`);
     if (route === undefined) {
       const known = [...this.#routes.keys()];
       return {status: 404, body: {error: 'no such path', known}};
     }
-    return route({query: url.searchParams, body: await readBody(req)});
+    const body = await readBody(req);
+    return route({query: new URLSearchParams(query), body});
+  }
+
+  #describe(req: IncomingMessage, err: unknown): AdminAnswer {
+    if (err instanceof AdminInputError) {
+      const {field, message, remedy} = err;
+      return {status: 400, body: {error: message, field, remedy}};
+    }
+    const message = err instanceof Error ? err.message : String(err);
+    const route = `${req.method} ${req.url}`;
+    this.#log.error('adminRequestFailed', {route, message});
+    return {status: 500, body: {error: message}};
   }
 }
 
+function toText({status, body}: AdminAnswer) {
+  return {status, text: JSON.stringify(body)};
+}
+
 async function readBody(req: IncomingMessage): Promise<unknown> {
+  const text = await readText(req);
+  if (text === '') return undefined;
+  try {
+    return JSON.parse(text);
+  } catch {
+    throw new AdminInputError('body', 'the body is no JSON', 'send JSON');
+  }
+}
+
+async function readText(req: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
   let bytes = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > MAX_BODY_BYTES) {
-      throw new Error(`the body is over ${MAX_BODY_BYTES} bytes`);
+  try {
+    for await (const chunk of req as AsyncIterable<Buffer>) {
+      bytes += chunk.length;
+      if (bytes <= MAX_BODY_BYTES) chunks.push(chunk);
     }
-    chunks.push(chunk);
+  } catch {
+    throw new AdminInputError('body', 'the body broke off', 'send all of it');
   }
-  if (bytes === 0) return undefined;
-  return JSON.parse(Buffer.concat(chunks).toString('utf8'));
+  if (bytes <= MAX_BODY_BYTES) return Buffer.concat(chunks).toString('utf8');
+  const remedy = `send at most ${MAX_BODY_BYTES} bytes`;
+  throw new AdminInputError('body', `the body has ${bytes} bytes`, remedy);
 }
