--- /dev/null
+++ b/test/docs/commands.test.ts
@@ -0,0 +1,205 @@
+import {execFile} from 'node:child_process';
+import {randomUUID} from 'node:crypto';
+import {
+  mkdir,
+  mkdtemp,
+  readdir,
+  readFile,
+  rm,
+  writeFile,
+} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {delimiter, join, resolve} from 'node:path';
+import {afterAll, beforeAll, expect, test} from 'vitest';
+import {toVmRecord, type Fleet} from '../../demo/fleet.js';
+import {EtcdStore} from '../../src/platform/etcd-store.js';
+import {VM_LIST_KEY} from '../../src/platform/vm-list.js';
+import {parseTableCsv} from '../../src/rollout/table-csv.js';
+import {listRows} from '../../src/rollout/table.js';
+import {
+  connect,
+  insert,
+  PROFILE,
+  startFleet,
+  TEAM,
+  waitUntil,
+} from '../fleet/fixture.js';
+import {
+  hasShape,
+  readBlocks,
+  readCommands,
+  type PageCommand,
+} from './page-commands.js';
+
+/** The pages in the order in which a newcomer reads them. */
+const PAGES = [
+  'README.md',
+  'docs/getting-started.md',
+  'docs/operators/tables.md',
+  'docs/operators/keys.md',
+  'docs/operators/limits.md',
+  'docs/operators/failover.md',
+  'docs/operators/restarts.md',
+  'docs/operators/report.md',
+  'docs/operators/store-outages.md',
+];
+const LANGUAGES = ['sh', 'console', 'json', 'sql', 'text'];
+/** The programs that a page may call. */
+const KNOWN = /^(zinnia|cat|sed|curl) /;
+
+const STANDING_TIMEOUT_MS = 15_000;
+
+/** Commands that don't run here: why, and where they are run instead. */
+const ELSEWHERE: readonly (readonly [RegExp, string])[] = [
+  [/^npm ci$/, 'installs the package: .ci/run'],
+  [/^npm test$/, 'runs this test: .ci/run'],
+  [/^npm run build$/, 'compiles what runs here: npm test'],
+  [/^npm run demo\b/, 'starts a fleet of its own: by itself'],
+  [
+    /^(export ZINNIA_|node dist\/)/,
+    'starts a deployment of its own: test/docs/getting-started.test.ts',
+  ],
+];
+
+/** What happens before the commands of a page, or of a heading of it. */
+const SITUATIONS: Readonly<Record<string, () => Promise<unknown>>> = {
+  'docs/operators/tables.md': writeTable,
+  'docs/operators/tables.md#When a VM does not answer': () => listVms(true),
+  'docs/operators/keys.md': () => listVms(false),
+  'docs/operators/limits.md': runStatements,
+  'docs/operators/report.md': () => listVms(true),
+  'docs/operators/store-outages.md': async () => {
+    await fleet.storeProcess.kill();
+    await waitForStanding('outage');
+  },
+};
+
+/** The table that the pages begin with. */
+const TABLE = `kind,name,old,new,rate,burst,stale_ms,ack,urgent,open,priority
+group,claims,100,0,,,500,replica,writes,false,
+group,ledger,100,0,,,0,replica,writes,false,
+team,assessors,,,200,400,,,,,urgent
+team,members,,,120,300,2000,,,,ordinary
+`;
+
+let dir: string;
+let fleet: Fleet;
+/** What commands before gave: a table's version, and a key's id. */
+let baseVersion = '';
+let keyId = '';
+
+beforeAll(async () => {
+  const teams = PROFILE.teams.filter(({name}) => name === TEAM);
+  const profile = {...PROFILE, dataCentres: ['hobart'], teams};
+  fleet = await startFleet({profile});
+  dir = await mkdtemp(join(tmpdir(), 'commands-'));
+  await mkdir(join(dir, 'bin'));
+  const script = `#!/bin/sh\nexec node ${resolve('dist/src/cli/main.js')} "$@"\n`;
+  await writeFile(join(dir, 'bin/zinnia'), script, {mode: 0o755});
+});
+
+afterAll(async () => {
+  await fleet?.stop();
+  await rm(dir, {recursive: true});
+});
+
+async function writeTable(): Promise<void> {
+  const rows = listRows(parseTableCsv(TABLE));
+  const edits = rows.map(row => ({kind: 'put', row}) as const);
+  const identity = {id: randomUUID(), by: 'ana'};
+  await fleet.editor.edit({kind: 'rows', edits}, identity);
+}
+
+/** Writes the platform's list, with a VM that nobody reaches or without. */
+async function listVms(withLost: boolean): Promise<void> {
+  const store = new EtcdStore({url: fleet.storeUrl});
+  const vms = fleet.nodes.map(toVmRecord);
+  const lost = {...vms[0], id: 'vm4', peerPort: 1, adminPort: 1};
+  const list = JSON.stringify(withLost ? [...vms, lost] : vms);
+  const current = await store.get(VM_LIST_KEY);
+  await store.compareAndSwap(VM_LIST_KEY, current?.revision ?? 0, list);
+}
+
+async function runStatements(): Promise<void> {
+  for (const node of fleet.nodes) {
+    const client = await connect(fleet, node);
+    await insert(client, `row-of-${node.vm}`);
+    await client.query('SELECT id, team, value FROM entries');
+    await client.end();
+  }
+}
+
+async function waitForStanding(wanted: string): Promise<void> {
+  const [node] = fleet.nodes;
+  await waitUntil(`standing ${wanted}`, STANDING_TIMEOUT_MS, async () => {
+    const {standing} = await fleet.readNode<{readonly standing: string}>(
+      node!,
+      'versions',
+    );
+    return standing === wanted ? true : undefined;
+  });
+}
+
+/** Replaces the addresses, versions and key ids of a page by the fleet's. */
+function fillIn(line: string): string {
+  return line
+    .replace('127.0.0.1:6434', `127.0.0.1:${fleet.nodes[0]?.adminPort}`)
+    .replace(/--base-version \d+/, `--base-version ${baseVersion}`)
+    .replace(/\b[\da-f]{16}\b/, keyId);
+}
+
+function run(line: string): Promise<{code: number; output: string}> {
+  const env = {
+    ...process.env,
+    PATH: `${join(dir, 'bin')}${delimiter}${process.env['PATH']}`,
+    ZINNIA_STORE: fleet.storeUrl,
+    ZINNIA_BY: 'ana',
+  };
+  return new Promise(done => {
+    const script = `exec 2>&1; ${fillIn(line)}`;
+    execFile('sh', ['-c', script], {cwd: dir, env}, (err, output) => {
+      baseVersion = /^version=(\d+)$/m.exec(output)?.[1] ?? baseVersion;
+      keyId = /^zk_([\da-f]+)_/m.exec(output)?.[1] ?? keyId;
+      done({code: Number(err?.code ?? 0), output});
+    });
+  });
+}
+
+/** What is wrong with a command; undefined if it does what the page says. */
+async function findFault({line, shown, code}: PageCommand) {
+  if (ELSEWHERE.some(([pattern]) => pattern.test(line))) return undefined;
+  if (!KNOWN.test(line)) return `${line}: this test does not know it`;
+  const result = await run(line);
+  if (result.code !== code) {
+    return `${line}: exit code ${result.code}, not ${code}\n${result.output}`;
+  }
+  const isReport = line.startsWith('zinnia report');
+  if (shown.length === 0 || hasShape(shown, result.output, isReport)) {
+    return undefined;
+  }
+  return `${line}: printed, unlike the page,\n${result.output}`;
+}
+
+test('the pages are all that operators have', async () => {
+  const files = await readdir('docs/operators');
+  const pages = files.map(file => `docs/operators/${file}`);
+  expect(PAGES.slice(2).toSorted()).toEqual(pages);
+});
+
+test.each(PAGES)('every command of %s does what it says', async page => {
+  const text = await readFile(page, 'utf8');
+  const languages = readBlocks(text).map(({language}) => language);
+  expect(LANGUAGES).toEqual(expect.arrayContaining(languages));
+  await SITUATIONS[page]?.();
+  const faults: (string | undefined)[] = [];
+  const headings = new Set<string>();
+  const commands = readCommands(text);
+  expect(commands).not.toEqual([]);
+  for (const command of commands) {
+    const {heading} = command;
+    if (!headings.has(heading)) await SITUATIONS[`${page}#${heading}`]?.();
+    headings.add(heading);
+    faults.push(await findFault(command));
+  }
+  expect(faults.filter(fault => fault !== undefined)).toEqual([]);
+});
--- a/test/docs/examples/tokens.ts
+++ b/test/docs/examples/tokens.ts
@@ -1,4 +1,9 @@
-import {covers, decodeToken, SessionToken, TokenSigner} from '../../../src/index.js';
+import {
+  covers,
+  decodeToken,
+  SessionToken,
+  TokenSigner,
+} from '../../../src/index.js';
 
 const signer = new TokenSigner('a secret that all VMs share');
 
