--- a/src/cli/durations.ts
+++ b/src/cli/durations.ts
@@ -4,6 +4,7 @@
   ms: 1,
   s: 1_000,
   m: 60_000,
+  h: 3_600_000,
 };
 
 /**
@@ -13,10 +14,10 @@
  * parseDuration('10s') === 10_000;
  */
 export function parseDuration(text: string): number {
-  const match = /^(\d{1,9})(ms|s|m)$/.exec(text);
+  const match = /^(\d{1,9})(ms|s|m|h)$/.exec(text);
   const unitMs = UNITS_MS[match?.[2] ?? ''];
   if (match === null || unitMs === undefined) {
-    throw new Error(`${text} is no duration; write 500ms, 10s or 2m`);
+    throw new Error(`${text} is no duration; write 500ms, 10s, 2m or 1h`);
   }
   return Number(match[1]) * unitMs;
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -20,7 +20,8 @@
   .completion('completion', 'print a shell completion script')
   .help()
   .fail((message, err, parser) => {
-    if (err) throw err;
+    // yargs raises its own for an option's value that is refused.
+    if (err && err.name !== 'YError') throw err;
     console.error(`${message}\n`);
     parser.showHelp('error');
     process.exit(EXIT.usage);
--- a/src/cli/report-options.ts
+++ b/src/cli/report-options.ts
@@ -5,8 +5,6 @@
 import {CommandError} from './context.js';
 import {parseDuration} from './durations.js';
 
-const HOUR_MS = 3_600_000;
-
 /**
  * Reads windows such as `5m,30m,1h`; throws a {@link CommandError}.
  *
@@ -46,8 +44,6 @@
 }
 
 function windowMs(label: string): number {
-  const hours = /^(\d{1,4})h$/.exec(label);
-  if (hours !== null) return Number(hours[1]) * HOUR_MS;
   try {
     return parseDuration(label);
   } catch {
--- a/src/cli/store-option.ts
+++ b/src/cli/store-option.ts
@@ -44,7 +44,7 @@
     })
     .option('timeout', {
       type: 'string',
-      describe: 'how long to wait, such as 500ms, 10s or 2m',
+      describe: 'how long to wait, such as 500ms, 10s, 2m or 1h',
       default: DEFAULT_WAIT,
       coerce: parseDuration,
     })
