--- a/bench/path.ts
+++ b/bench/path.ts
@@ -5,6 +5,7 @@
 import yargs from 'yargs';
 import {Fleet} from '../demo/fleet.js';
 import {TASMAN, type Profile} from '../demo/profiles.js';
+import type {StatementKind} from '../src/telemetry/metrics.js';
 import {formatTable} from './figures.js';
 
 const GROUP = 'members';
@@ -219,7 +220,7 @@
 
 interface StatementsAnswer {
   readonly slices: readonly {
-    readonly kind: 'read' | 'write';
+    readonly kind: StatementKind;
     readonly done: number;
     readonly atReplicas: number;
   }[];
--- a/demo/measures.ts
+++ b/demo/measures.ts
@@ -1,4 +1,5 @@
 /** The four measures of the brief, from the clients' own record. */
+import type {StatementKind} from '../src/telemetry/metrics.js';
 import type {Fleet} from './fleet.js';
 import type {TeamProfile} from './profiles.js';
 import type {LoadRecord} from './record.js';
@@ -20,7 +21,7 @@
 
 interface StatementsAnswer {
   readonly slices: readonly {
-    readonly kind: 'read' | 'write';
+    readonly kind: StatementKind;
     readonly done: number;
     readonly atReplicas: number;
   }[];
--- a/src/callers/statement-runner.ts
+++ b/src/callers/statement-runner.ts
@@ -4,6 +4,7 @@
 import {failedResult, type ExecResult} from '../home/types.js';
 import type {Classification, Statement} from '../routing/statement.js';
 import type {Position} from '../session/position.js';
+import type {StatementKind} from '../telemetry/metrics.js';
 import type {TransactionStatus} from '../targets/types.js';
 import {notRun, type NotRun} from '../verdict/verdict.js';
 import type {Authority, SessionDeps} from './types.js';
@@ -57,6 +58,7 @@
   async run(req: RunRequest): Promise<ExecResult> {
     const wasOpen = this.#transaction !== 'idle';
     const kind = this.#kindOf(req.classification);
+    const sampleKind = this.#sampleKindOf(req.classification);
     const result = await this.#admitAndExecute(req);
     this.#transaction = result.transaction;
     this.#pin = result.pin;
@@ -67,7 +69,7 @@
     if (result.position !== undefined) {
       this.#remember(result.position, kind);
     }
-    this.#observe(req, result);
+    this.#observe(req, sampleKind, result);
     return result;
   }
 
@@ -170,11 +172,18 @@
     this.#parameters.token = this.#parameters.token.with(group, position);
   }
 
-  #observe(req: RunRequest, result: ExecResult): void {
+  #sampleKindOf(classification: Classification): StatementKind {
+    const opens = classification.statements.some(({kind}) => kind === 'begin');
+    if (opens || this.#transaction !== 'idle') return 'transaction';
+    return this.#kindOf(classification);
+  }
+
+  #observe(req: RunRequest, kind: StatementKind, result: ExecResult): void {
     this.#deps.observe({
       team: this.#authority.team,
       group: this.#authority.group,
-      kind: req.classification.strictest.kind === 'read' ? 'read' : 'write',
+      kind,
+      statements: countStatements(req),
       verdict: result.verdict,
       elapsedMs: this.#deps.clock.now() - req.arrivedAt,
       servedBy: result.servedBy,
@@ -200,7 +209,12 @@
   const {statements} = req.classification;
   if (transaction !== 'idle' && statements.every(endsTransaction)) return 0;
   const begins = statements.filter(({kind}) => kind === 'begin').length;
-  return Math.max(1, req.statements) + begins;
+  return countStatements(req) + begins;
+}
+
+/** A batch that only describes counts as one. */
+function countStatements({statements}: RunRequest): number {
+  return Math.max(1, statements);
 }
 
 function endsTransaction({kind}: Statement): boolean {
--- a/src/callers/types.ts
+++ b/src/callers/types.ts
@@ -5,7 +5,8 @@
 import type {Classifier} from '../routing/classify.js';
 import type {TokenSigner} from '../session/token-signer.js';
 import type {Logger} from '../telemetry/log.js';
-import type {NotRun, Verdict} from '../verdict/verdict.js';
+import type {StatementSample} from '../telemetry/metrics.js';
+import type {NotRun} from '../verdict/verdict.js';
 
 /** Who a session is and what it may reach. */
 export interface Authority {
@@ -49,17 +50,6 @@
   admit(team: string, deadlineMs: number): Promise<Admission>;
 }
 
-/** One statement as the metrics see it. */
-export interface StatementSample {
-  readonly team: string;
-  readonly group: string;
-  readonly kind: 'read' | 'write';
-  readonly verdict: Verdict;
-  /** From the statement's arrival to its last answer frame. */
-  readonly elapsedMs: number;
-  readonly servedBy: 'primary' | 'replica' | undefined;
-}
-
 /** Everything that a session is built from. */
 export interface SessionDeps {
   readonly access: AccessPort;
--- a/src/cli/report-statements.ts
+++ b/src/cli/report-statements.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import type {VmRecord} from '../platform/vm-list.js';
 import type {VmStatements} from '../telemetry/burn-report.js';
+import {STATEMENT_KINDS} from '../telemetry/metrics.js';
 
 const ANSWER_TIMEOUT_MS = 3_000;
 const MAX_PARALLEL_REQUESTS = 50;
@@ -14,7 +15,7 @@
     z.object({
       team: z.string(),
       group: z.string(),
-      kind: z.enum(['read', 'write']),
+      kind: z.enum(STATEMENT_KINDS),
       startedAt: count,
       done: count,
       mayHaveRun: count,
--- a/src/telemetry/burn-format.ts
+++ b/src/telemetry/burn-format.ts
@@ -24,7 +24,11 @@
   return [
     text('team', 'whose key came with the statements', row => row.team),
     text('group', 'the database group that they went to', row => row.group),
-    text('kind', 'read or write', row => row.kind),
+    text(
+      'kind',
+      'read, write, or transaction: from BEGIN to its end',
+      row => row.kind,
+    ),
     figure('statements', `all statements of the last ${longest}`, row =>
       String(row.statements),
     ),
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -22,16 +22,25 @@
   numberOfSignificantValueDigits: 2 as const,
 };
 
+/** A statement of a transaction that the caller opened is neither other kind. */
+export const STATEMENT_KINDS = ['read', 'write', 'transaction'] as const;
+
+/** One of {@link STATEMENT_KINDS}. */
+export type StatementKind = (typeof STATEMENT_KINDS)[number];
+
 /** What a series of statements has in common. */
 export interface SeriesKey {
   readonly team: string;
   readonly group: string;
-  readonly kind: 'read' | 'write';
+  readonly kind: StatementKind;
 }
 
-/** One finished statement. */
-export interface Sample extends SeriesKey {
+/** One or more statements that a caller sent together and that ended. */
+export interface StatementSample extends SeriesKey {
+  /** How many statements; at least 1. */
+  readonly statements: number;
   readonly verdict: Verdict;
+  /** From the arrival to the last answer frame, for each of them. */
   readonly elapsedMs: number;
   readonly servedBy: 'primary' | 'replica' | undefined;
 }
@@ -74,20 +83,20 @@
     this.#clock = clock;
   }
 
-  /** Counts one finished statement. */
-  observe(sample: Sample): void {
+  /** Counts finished statements. */
+  observe(sample: StatementSample): void {
     const counters = this.#counters(sample);
-    const {verdict} = sample;
+    const {verdict, statements} = sample;
     if (verdict.kind === 'notRun') {
       const before = counters.refused[verdict.reason] ?? 0;
-      counters.refused[verdict.reason] = before + 1;
+      counters.refused[verdict.reason] = before + statements;
       return;
     }
-    if (verdict.kind === 'mayHaveRun') counters.mayHaveRun++;
-    else counters.done++;
-    if (sample.servedBy === 'replica') counters.atReplicas++;
+    if (verdict.kind === 'mayHaveRun') counters.mayHaveRun += statements;
+    else counters.done += statements;
+    if (sample.servedBy === 'replica') counters.atReplicas += statements;
     const micros = Math.max(1, Math.round(sample.elapsedMs * 1_000));
-    counters.latency.recordValue(micros);
+    counters.latency.recordValueWithCount(micros, statements);
   }
 
   /** Every slice that began at `since` or later. */
@@ -107,7 +116,7 @@
       );
   }
 
-  #counters({team, group, kind}: Sample): Counters {
+  #counters({team, group, kind}: SeriesKey): Counters {
     const {series} = this.#currentSlice();
     const name = `${team}\n${group}\n${kind}`;
     const known = series.get(name);
--- a/test/callers/transactions.test.ts
+++ b/test/callers/transactions.test.ts
@@ -32,6 +32,38 @@
     expect(await pinned()).toBe(0);
   });
 
+  it('counts each statement, also of a batch, as read, write or transaction', async () => {
+    const client = await harness.connect();
+    const before = harness.node.samples.length;
+    const read = 'SELECT count(*) FROM claims';
+    const write = "INSERT INTO claims (id, team, value) VALUES ('k', 'red', 1)";
+    for (const sql of [
+      read,
+      write,
+      `${read}; ${read}; ${read}`,
+      `${read}; ${write.replace("'k'", "'l'")}`,
+      'BEGIN',
+      read,
+      'COMMIT',
+      `BEGIN; ${read}; COMMIT`,
+      read,
+    ]) {
+      await client.query(sql);
+    }
+    const samples = harness.node.samples.slice(before);
+    expect(samples.map(({kind, statements}) => [kind, statements])).toEqual([
+      ['read', 1],
+      ['write', 1],
+      ['read', 3],
+      ['write', 2],
+      ['transaction', 1],
+      ['transaction', 1],
+      ['transaction', 1],
+      ['transaction', 3],
+      ['read', 1],
+    ]);
+  });
+
   it('shows open work to its own session only', async () => {
     const client = await harness.connect();
     const other = await harness.connect();
