--- a/test/docs/commands.test.ts
+++ b/test/docs/commands.test.ts
@@ -54,6 +54,7 @@
   [/^npm ci$/, 'installs the package: .ci/run'],
   [/^npm ci && npm test$/, 'runs this test: .ci/run'],
   [/^npm run build$/, 'compiles what runs here: npm test'],
+  [/^alias zinnia=/, 'a script of that name does the same here'],
   [/^(npm ci && )?npm run demo$/, 'starts a fleet of its own: by itself'],
   [
     /^(export ZINNIA_|node dist\/)/,
