--- a/src/home/group-databases.ts
+++ b/src/home/group-databases.ts
@@ -118,6 +118,18 @@
     for (const lane of this.#lanes.values()) void lane.warmUp();
   }
 
+  /**
+   * Orders no failovers any more, and takes no new work for the databases that
+   * the group's new description lacks.
+   */
+  retire({databases}: GroupSpec): void {
+    this.agent.stop();
+    const kept = new Set(databases.map(({id}) => id));
+    for (const [id, lane] of this.#lanes) {
+      if (!kept.has(id)) lane.close();
+    }
+  }
+
   stop(): void {
     this.#stopping.abort();
     this.agent.stop();
--- a/src/home/group-home.ts
+++ b/src/home/group-home.ts
@@ -1,6 +1,7 @@
 /** The home of one database group: all of the group's work passes here. */
 import {switchPrimary, type SwitchResult} from '../groups/planned-switch.js';
 import type {GroupView} from '../groups/group-view.js';
+import type {GroupSpec} from '../groups/types.js';
 import type {Clock} from '../platform/clock.js';
 import type {GroupRow} from '../rollout/table.js';
 import {RetryBudget} from '../verdict/retry.js';
@@ -74,6 +75,11 @@
     this.#transactions.start();
   }
 
+  /** Only finishes its work; a home of the new description has taken over. */
+  retire(successor: GroupSpec): void {
+    this.#databases.retire(successor);
+  }
+
   /** Stops at once; open transactions are rolled back. */
   stop(): void {
     this.#transactions.stop();
--- a/src/home/home-service.ts
+++ b/src/home/home-service.ts
@@ -132,6 +132,7 @@
   /** Asks the databases to stop what a session runs. */
   cancel(group: string, sessionId: string): void {
     this.#homes.get(group)?.home.cancel(sessionId);
+    for (const home of this.#outgoing) home.cancel(sessionId);
   }
 
   /** Makes a database primary by the operator's order. */
@@ -157,7 +158,10 @@
     const fingerprint = JSON.stringify(spec);
     const known = this.#homes.get(group);
     if (known?.fingerprint === fingerprint) return known.home;
-    if (known !== undefined) this.#outgoing.add(known.home);
+    if (known !== undefined) {
+      known.home.retire(spec);
+      this.#outgoing.add(known.home);
+    }
     const home = this.#open(spec);
     this.#homes.set(group, {home, fingerprint});
     return home;
--- a/test/fleet/fixture.ts
+++ b/test/fleet/fixture.ts
@@ -2,10 +2,17 @@
 import pg from 'pg';
 import {RunningLoad} from '../../bench/load.js';
 import {checkPromises} from '../../demo/checks.js';
-import {Fleet, type FleetNode, type FleetOptions} from '../../demo/fleet.js';
+import {
+  Fleet,
+  type FleetDatabase,
+  type FleetNode,
+  type FleetOptions,
+} from '../../demo/fleet.js';
 import type {Profile} from '../../demo/profiles.js';
 import type {Failure, LoadRecord} from '../../demo/record.js';
 import {MIXED, type LoadMix} from '../../demo/session-load.js';
+import {GROUPS_KEY, type GroupSpec} from '../../src/groups/types.js';
+import {EtcdStore} from '../../src/platform/etcd-store.js';
 
 /** The one database group of the test fleet. */
 export const GROUP = 'claims';
@@ -166,6 +173,23 @@
   return rows.map(({id}) => id);
 }
 
+/** Takes a database out of the platform's description; it runs on. */
+export async function removeFromGroup(
+  fleet: Fleet,
+  database: FleetDatabase,
+): Promise<void> {
+  const store = new EtcdStore({url: fleet.storeUrl});
+  const stored = await store.get(GROUPS_KEY);
+  const groups = JSON.parse(stored?.value ?? '[]') as readonly GroupSpec[];
+  const value = JSON.stringify(
+    groups.map(({name, databases}) => ({
+      name,
+      databases: databases.filter(({id}) => id !== database.spec.id),
+    })),
+  );
+  await store.compareAndSwap(GROUPS_KEY, stored?.revision ?? 0, value);
+}
+
 /** The node that is the group's home, as `asked` sees it. */
 export async function findHome(
   fleet: Fleet,
--- /dev/null
+++ b/test/fleet/leaving.test.ts
@@ -0,0 +1,77 @@
+import {afterEach, expect, test} from 'vitest';
+import type {Fleet, FleetDatabase} from '../../demo/fleet.js';
+import {
+  GROUP,
+  connect,
+  countFailures,
+  findBroken,
+  insert,
+  removeFromGroup,
+  sleep,
+  startFleet,
+  startLoad,
+  waitForProgress,
+} from './fixture.js';
+
+const SEED = 47;
+const STATEMENTS = 300;
+const PROGRESS_TIMEOUT_MS = 12_000;
+/** The stated bound for the last new statement at a target that leaves. */
+const LEAVE_MS = 5_000;
+const OBSERVED_MS = 3_000;
+/** So slow that statements run there at the moment it leaves. */
+const SLOW_STATEMENT_MS = 200;
+const ROWS = ['row-before-the-change', 'row-after-the-change'];
+
+let fleet: Fleet | undefined;
+
+afterEach(async () => {
+  await fleet?.stop();
+  fleet = undefined;
+});
+
+test('a replica that leaves gets no new statement after 5 s, and nothing is cut', async () => {
+  const running = (fleet = await startFleet());
+  const [primary, other, leaving] = running.databases as [
+    FleetDatabase,
+    FleetDatabase,
+    FleetDatabase,
+  ];
+  const countStatements = (database: FleetDatabase) =>
+    running
+      .readDatabase<{readonly statements: number}>(database, 'counts')
+      .then(({statements}) => statements);
+  const load = startLoad(running, SEED);
+  await waitForProgress(load, STATEMENTS, PROGRESS_TIMEOUT_MS);
+  const client = await connect(running, running.nodes[0]!);
+  await client.query('BEGIN');
+  await insert(client, ROWS[0]!);
+  const service = {ms: SLOW_STATEMENT_MS};
+  await running.databaseSwitch(leaving, 'service', service);
+  const early = await countStatements(leaving);
+  await waitForProgress(load, STATEMENTS, PROGRESS_TIMEOUT_MS);
+  const before = await countStatements(leaving);
+
+  await removeFromGroup(running, leaving);
+  await sleep(LEAVE_MS);
+  const counts = await Promise.all(
+    [primary, other, leaving].map(countStatements),
+  );
+  await sleep(OBSERVED_MS);
+  const later = await Promise.all(
+    [primary, other, leaving].map(countStatements),
+  );
+  await insert(client, ROWS[1]!);
+  await client.query('COMMIT');
+  await client.end();
+  const record = await load.stop();
+
+  expect(before - early, 'statements there just before').toBeGreaterThan(0);
+  const [atPrimary, atOther, atLeaving] = later.map((n, i) => n - counts[i]!);
+  expect.soft(atLeaving).toBe(0);
+  expect.soft(atPrimary).toBeGreaterThan(0);
+  expect.soft(atOther).toBeGreaterThan(0);
+  expect.soft(countFailures(record.failures)).toEqual({});
+  record.inserted.get(GROUP)?.push(...ROWS);
+  expect(await findBroken(running, record)).toEqual([]);
+});
--- /dev/null
+++ b/test/home/home-service.test.ts
@@ -0,0 +1,131 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {HomeService} from '../../src/home/home-service.js';
+import type {ExecRequest} from '../../src/home/types.js';
+import type {GroupSpec} from '../../src/groups/types.js';
+import type {BatchEnd, TargetConnection} from '../../src/targets/types.js';
+import {FakeGroup} from '../fakes/fake-group.js';
+import {VirtualClock} from '../fakes/virtual-clock.js';
+import {seededRandom} from '../groups/fake-node.js';
+
+const SEED = 48;
+const NODE = 'vm-1';
+const SETTLE_MS = 2_000;
+/** Many times what a failover takes. */
+const FAILOVER_MS = 10_000;
+const WRITE: ExecRequest = {
+  sessionId: 's1',
+  group: 'claims',
+  team: 'assessors',
+  kind: 'write',
+  priority: 'urgent',
+  deadlineMs: 60_000,
+  token: undefined,
+  staleMs: 0,
+  frames: new Uint8Array(),
+  commits: false,
+  pin: undefined,
+};
+
+const IDLE: BatchEnd = {
+  transaction: 'idle',
+  position: undefined,
+  failed: false,
+};
+
+let time: VirtualClock;
+let group: FakeGroup;
+let spec: GroupSpec;
+let homes: HomeService;
+let cancelled: number;
+/** How the next batches end; a batch stays open while it is undefined. */
+let end: BatchEnd | undefined;
+
+function connect(): TargetConnection {
+  return {
+    usable: true,
+    transaction: 'idle',
+    run: (frames, observer) => {
+      observer.onStart?.(group.database('db-1').received);
+      const isSignOfLife = frames.length > 0;
+      const answer = isSignOfLife ? IDLE : end;
+      return answer ? Promise.resolve(answer) : new Promise(() => {});
+    },
+    cancel: async () => void cancelled++,
+    close: () => {},
+  };
+}
+
+/** Takes db-3 out of the group's description. */
+async function removeThird(): Promise<void> {
+  spec = {...spec, databases: spec.databases.slice(0, 2)};
+  await time.advance(SETTLE_MS);
+}
+
+function execute(req: ExecRequest = WRITE) {
+  return homes.execute(req, () => {}, new AbortController().signal);
+}
+
+beforeEach(async () => {
+  time = new VirtualClock();
+  group = new FakeGroup(time);
+  ({spec} = group);
+  cancelled = 0;
+  end = {
+    transaction: 'open',
+    position: group.database('db-1').received,
+    failed: false,
+  };
+  const clock = time.forNode();
+  const controls = group.controlsFor(NODE, clock);
+  homes = new HomeService({
+    clock,
+    random: seededRandom(SEED),
+    dataCentre: 'dc-1',
+    instanceId: 'vm-1/test',
+    access: {
+      control: ({id}) => {
+        const control = controls.find(one => one.spec.id === id)!;
+        return Object.assign(control, {close: () => {}});
+      },
+      connect: async () => connect(),
+    },
+    evidence: {canReach: async () => [false, false]},
+    groups: () => [spec],
+    row: () => undefined,
+    weightOf: () => 1,
+    isFirstHome: () => true,
+    onFailover: () => {},
+  });
+  homes.start();
+  await time.advance(SETTLE_MS);
+});
+
+afterEach(() => {
+  homes.stop();
+});
+
+describe('home service, when a database leaves a group', () => {
+  it('promotes it no more, though an open transaction keeps the old home', async () => {
+    const begun = await execute();
+    expect(begun.pin).toBeDefined();
+    await removeThird();
+    expect(homes.active).toBe(1);
+    // Only the database that left holds the last write.
+    group.links.cut(['db-1'], ['db-2']);
+    group.database('db-1').commit('last');
+    await time.advance(SETTLE_MS);
+    group.database('db-1').crash();
+    await time.advance(FAILOVER_MS);
+    expect(group.database('db-3').promotions).toEqual([]);
+  });
+
+  it('passes cancel requests on to statements of the old home', async () => {
+    end = undefined;
+    void execute();
+    await time.advance(1);
+    await removeThird();
+    expect(homes.active).toBe(1);
+    homes.cancel('claims', WRITE.sessionId);
+    expect(cancelled).toBe(1);
+  });
+});
