--- a/bench/load.ts
+++ b/bench/load.ts
@@ -1,6 +1,6 @@
 /** Loads of the benches on one group, made of the demo's sessions. */
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import type {Fleet} from '../demo/fleet.js';
+import type {Fleet, FleetNode} from '../demo/fleet.js';
 import {LoadRecord} from '../demo/record.js';
 import {SessionLoad, type LoadMix} from '../demo/session-load.js';
 
@@ -13,6 +13,8 @@
 /** What a load consists of. */
 export interface LoadOptions {
   readonly fleet: Fleet;
+  /** The nodes that the sessions roam over; all where not given. */
+  readonly nodes?: readonly FleetNode[];
   readonly group: string;
   readonly team: string;
   readonly sessions: readonly SessionsOf[];
@@ -37,7 +39,7 @@
           team,
           key: fleet.keys.get(team) ?? '',
           group,
-          nodes: fleet.nodes,
+          nodes: options.nodes ?? fleet.nodes,
           record: this.record,
           paceMs,
           mix,
--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -10,8 +10,10 @@
 import type {Profile} from './profiles.js';
 
 const HOST = '127.0.0.1';
-const TARGET_USER = 'zinnia';
-const TARGET_PASSWORD = 'target-password-of-the-nodes';
+/** The user that nodes log in to databases with. */
+export const TARGET_USER = 'zinnia';
+/** Its password. */
+export const TARGET_PASSWORD = 'target-password-of-the-nodes';
 const TOKEN_SECRET = 'token-secret-of-the-demo-fleet';
 const PEER_SECRET = 'peer-secret-of-the-demo-fleet';
 const DATABASES_PER_GROUP = 3;
--- a/standins/database/admin-server.ts
+++ b/standins/database/admin-server.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import type {Position} from '../../src/session/position.js';
 import type {DatabaseCore} from './core.js';
+import type {OrderKind, OrderMoment} from './order-gates.js';
 import {DATABASE_HEADER} from './peer-client.js';
 import {ENTRIES_PATH, STATE_PATH} from './replication-messages.js';
 import {answerPull, peerState} from './replication-source.js';
@@ -10,6 +11,9 @@
 interface AdminOrder {
   readonly ms?: number;
   readonly from?: readonly string[];
+  readonly order?: OrderKind;
+  readonly moment?: OrderMoment;
+  readonly orderer?: string;
 }
 
 type Handler = (url: URL, order: AdminOrder) => unknown;
@@ -68,6 +72,8 @@
     ['POST /silence', () => core.silenceConnections()],
     ['POST /lag', (_url, order) => core.member.setLag(readMs(order))],
     ['POST /service', (_url, order) => core.runner.setService(readMs(order))],
+    ['POST /hold', (_url, order) => holdOrders(core, order)],
+    ['GET /held', () => core.member.orders.held],
     ['GET /status', () => core.member.status()],
     ['GET /log', () => core.member.log.after(0)],
     [
@@ -79,6 +85,11 @@
   ]);
 }
 
+function holdOrders(core: DatabaseCore, body: AdminOrder): void {
+  const {order: kind = 'fence', moment = 'before', orderer = ''} = body;
+  core.member.orders.hold({kind, moment, orderer}, readMs(body));
+}
+
 function readMs({ms}: AdminOrder): number {
   if (typeof ms === 'number' && ms >= 0) return ms;
   throw new Error('send {"ms": a number of milliseconds}');
--- a/standins/database/control.ts
+++ b/standins/database/control.ts
@@ -2,6 +2,7 @@
 import type {ConfirmResult, DatabaseStatus} from '../../src/groups/types.js';
 import {formatPosition, parsePosition} from '../../src/session/position.js';
 import type {GroupMember} from './member.js';
+import type {OrderKind} from './order-gates.js';
 import {SqlError} from './sql-error.js';
 import type {ControlStatement} from './sql.js';
 import {textColumns, type Result, type ResultColumn} from './result.js';
@@ -50,12 +51,16 @@
   switch (statement.kind) {
     case 'status':
       return statusRow(member.status());
-    case 'fence': {
-      const {kind} = member.fence(statement.term, statement.orderer);
-      return [kind, ...statusRow(member.status())];
-    }
+    case 'fence':
+      return runOrder(member, statement, () => {
+        const {kind} = member.fence(statement.term, statement.orderer);
+        return [kind, ...statusRow(member.status())];
+      });
     case 'promote':
-      return [member.promote(statement.term, statement.orderer) ? 't' : 'f'];
+      return runOrder(member, statement, () => {
+        const {term, orderer} = statement;
+        return [member.promote(term, orderer) ? 't' : 'f'];
+      });
     case 'confirm': {
       const position = parsePosition(statement.position);
       if (position === undefined) {
@@ -67,6 +72,18 @@
   }
 }
 
+/** Carries an order out, between the gates that may hold it. */
+async function runOrder(
+  member: GroupMember,
+  {kind, orderer}: {readonly kind: OrderKind; readonly orderer: string},
+  run: () => readonly string[],
+): Promise<readonly string[]> {
+  await member.orders.pass({kind, moment: 'before', orderer});
+  const row = run();
+  await member.orders.pass({kind, moment: 'after', orderer});
+  return row;
+}
+
 function confirmRow(result: ConfirmResult): readonly string[] {
   if (result.kind === 'fenced') return ['fenced', String(result.fencedTerm)];
   return [result.kind, formatPosition(result.received)];
--- a/standins/database/member.ts
+++ b/standins/database/member.ts
@@ -6,6 +6,7 @@
 } from '../../src/groups/types.js';
 import {covers, type Position} from '../../src/session/position.js';
 import {Log, type LogEntry, type StoredEntry} from './log.js';
+import {OrderGates} from './order-gates.js';
 import {ChangeSignal, type FreezeGate} from './signal.js';
 import {SqlError} from './sql-error.js';
 import {Tables, type RowSource} from './tables.js';
@@ -28,6 +29,8 @@
   readonly log = new Log();
   /** Notified when the log, the role or the fence changes. */
   readonly changed = new ChangeSignal();
+  /** Holds the platform's orders where a test says so. */
+  readonly orders = new OrderGates();
   readonly #tables = new Tables();
   readonly #gate: FreezeGate;
   #role: 'primary' | 'replica' = 'replica';
