--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -58,6 +58,11 @@
     return this.#errors;
   }
 
+  /** What it wrote to standard output. */
+  get output(): string {
+    return this.#output;
+  }
+
   /** Resolves once `text` has been written to either stream. */
   async waitFor(text: string): Promise<void> {
     const until = Date.now() + START_TIMEOUT_MS;
--- a/src/groups/planned-switch.ts
+++ b/src/groups/planned-switch.ts
@@ -15,7 +15,7 @@
 export interface WriteHold {
   /** Resolves when no write of this node is under way any more. */
   holdWrites(): Promise<void>;
-  releaseWrites(): void;
+  releaseWrites(): void | Promise<void>;
 }
 
 interface Leader {
@@ -77,7 +77,7 @@
     if (late !== undefined) return notStarted(late);
     return await handOver(order, leader, target);
   } finally {
-    hold.releaseWrites();
+    await hold.releaseWrites();
   }
 }
 
--- a/src/home/group-home.ts
+++ b/src/home/group-home.ts
@@ -42,7 +42,10 @@
     this.#lastUsedAt = options.clock.now();
     this.#databases = new GroupDatabases(options);
     this.#transactions = new Transactions(options.clock);
-    this.#gate = new WriteGate(options.clock);
+    this.#gate = new WriteGate({
+      clock: options.clock,
+      openTransactions: () => this.#transactions.size,
+    });
     const databases = this.#databases;
     const path = new ReadPath({
       databases,
@@ -134,7 +137,10 @@
         clock: this.#clock,
         controls,
         targetDatabaseId,
-        hold: this.#gate,
+        hold: {
+          holdWrites: () => this.#gate.holdWrites(),
+          releaseWrites: () => this.#releaseWrites(),
+        },
         nextOrderer: () => agent.nextOrderer(),
       });
     } finally {
@@ -143,6 +149,12 @@
     }
   }
 
+  /** Looks who leads first: held writes would meet the old primary. */
+  async #releaseWrites(): Promise<void> {
+    await this.#databases.monitor.refreshNow();
+    this.#gate.releaseWrites();
+  }
+
   async #write(attempt: WriteAttempt): Promise<ExecResult> {
     const {req, signal} = attempt;
     const result =
--- a/src/home/write-path.ts
+++ b/src/home/write-path.ts
@@ -85,10 +85,12 @@
   /** Runs a batch of an open transaction. Never rejects. */
   async runPinned(attempt: WriteAttempt, pin: string): Promise<ExecResult> {
     const {transactions, gate} = this.#options;
+    const leave = await gate.enterPinned(attempt.deadlineAt);
     const pinned = transactions.take(pin);
-    if (pinned === undefined)
+    if (pinned === undefined) {
+      leave();
       return failedResult(rolledBack('it is not known'));
-    const leave = gate.enterNow();
+    }
     const answer = new WriteAnswer(attempt.sink);
     const {slot, databaseId} = pinned;
     try {
--- /dev/null
+++ b/test/fleet/switch.test.ts
@@ -0,0 +1,70 @@
+import {afterEach, expect, test} from 'vitest';
+import {longestGap} from '../../demo/measures.js';
+import type {Fleet} from '../../demo/fleet.js';
+import {FleetProcess} from '../../demo/processes.js';
+import {WRITES, type LoadMix} from '../../demo/session-load.js';
+import {
+  GROUP,
+  OTHER_TEAM,
+  countFailures,
+  findBroken,
+  startFleet,
+  startLoad,
+  waitForProgress,
+  waitUntil,
+} from './fixture.js';
+
+const SEED = 50;
+const STATEMENTS = 300;
+const PROGRESS_TIMEOUT_MS = 12_000;
+/** Mostly transactions, so that some are open at each switch. */
+const TRANSACTIONS: LoadMix = {writes: 0.2, transactions: 0.6};
+const SWITCHES = 4;
+/** The stated target for the time without a write in a planned switch. */
+const GAP_MS = 1_000;
+const NOTICED_MS = 2_000;
+
+let fleet: Fleet | undefined;
+
+afterEach(async () => {
+  await fleet?.stop();
+  fleet = undefined;
+});
+
+/** Runs `zinnia group switch` as a process; returns what it printed. */
+async function switchGroup(running: Fleet, to: string): Promise<string> {
+  const args = ['group', 'switch', GROUP, to, `--store=${running.storeUrl}`];
+  const command = new FleetProcess('src/cli/main.js', args);
+  await command.exited();
+  return command.output + command.log;
+}
+
+test('planned switches under load hold writes, and refuse, lose and double none', async () => {
+  const running = (fleet = await startFleet());
+  const load = startLoad(running, SEED, {mix: WRITES});
+  const transactions = startLoad(running, SEED, {
+    mix: TRANSACTIONS,
+    team: OTHER_TEAM,
+  });
+  await waitForProgress(load, STATEMENTS, PROGRESS_TIMEOUT_MS);
+  const gaps: number[] = [];
+  for (let i = 1; i <= SWITCHES; i++) {
+    const target = running.databases[i % running.databases.length]!;
+    const from = performance.now();
+    const said = await switchGroup(running, target.spec.id);
+    expect(said).toMatch(`${target.spec.id} is primary of ${GROUP} from term`);
+    await waitUntil('the new primary is known', NOTICED_MS, async () =>
+      (await running.findPrimary(GROUP)) === target ? true : undefined,
+    );
+    await waitForProgress(load, STATEMENTS, PROGRESS_TIMEOUT_MS);
+    gaps.push(longestGap(load.record.completions.filter(c => c.at >= from)));
+  }
+  const records = [await load.stop(), await transactions.stop()];
+
+  console.log(`longest gaps in ms: ${gaps.map(Math.round).join(', ')}`);
+  expect.soft(Math.max(...gaps)).toBeLessThan(GAP_MS);
+  for (const record of records) {
+    expect.soft(countFailures(record.failures)).toEqual({});
+    expect.soft(await findBroken(running, record)).toEqual([]);
+  }
+});
