--- a/demo/fleet-members.ts
+++ b/demo/fleet-members.ts
@@ -6,8 +6,10 @@
 
 /** Where every process of a fleet listens. */
 export const HOST = '127.0.0.1';
-const TARGET_USER = 'zinnia';
-const TARGET_PASSWORD = 'target-password-of-the-nodes';
+/** The user that nodes log in to databases with. */
+export const TARGET_USER = 'zinnia';
+/** Its password. */
+export const TARGET_PASSWORD = 'target-password-of-the-nodes';
 const TOKEN_SECRET = 'token-secret-of-the-demo-fleet';
 const PEER_SECRET = 'peer-secret-of-the-demo-fleet';
 /** Databases in each group. */
@@ -133,7 +135,7 @@
 }
 
 /** A node as the platform lists it. */
-function toVmRecord(node: NodeAddress): VmRecord {
+export function toVmRecord(node: NodeAddress): VmRecord {
   return {
     id: node.vm,
     host: HOST,
--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -17,6 +17,7 @@
 } from './fleet-members.js';
 import {findPorts, type FleetProcess} from './processes.js';
 
+export {TARGET_PASSWORD, TARGET_USER, toVmRecord} from './fleet-members.js';
 export type {FleetDatabase, FleetNode} from './fleet-members.js';
 
 /** How a fleet differs from the profile's defaults. */
@@ -78,6 +79,12 @@
     return this.#keys;
   }
 
+  /** The store's process. */
+  get storeProcess(): FleetProcess {
+    if (this.#store === undefined) throw new Error('start the fleet first');
+    return this.#store;
+  }
+
   /** Ends every process of the fleet. */
   async stop(): Promise<void> {
     const members = [...this.nodes, ...this.databases];
--- a/src/home/group-home.ts
+++ b/src/home/group-home.ts
@@ -1,6 +1,7 @@
 /** The home of one database group: all of the group's work passes here. */
 import {switchPrimary, type SwitchResult} from '../groups/planned-switch.js';
 import type {GroupView} from '../groups/group-view.js';
+import type {GroupSpec} from '../groups/types.js';
 import type {Clock} from '../platform/clock.js';
 import type {GroupRow} from '../rollout/table.js';
 import {RetryBudget} from '../verdict/retry.js';
@@ -44,7 +45,10 @@
     this.#lastUsedAt = options.clock.now();
     this.#databases = new GroupDatabases(options);
     this.#transactions = new Transactions(options.clock);
-    this.#gate = new WriteGate(options.clock);
+    this.#gate = new WriteGate({
+      clock: options.clock,
+      openTransactions: () => this.#transactions.size,
+    });
     const databases = this.#databases;
     const path = new ReadPath({
       databases,
@@ -78,6 +82,11 @@
     this.#transactions.start();
   }
 
+  /** Only finishes its work; a home of the new description has taken over. */
+  retire(successor: GroupSpec): void {
+    this.#databases.retire(successor);
+  }
+
   /** Stops at once; open transactions are rolled back. */
   stop(): void {
     this.#transactions.stop();
@@ -136,7 +145,10 @@
         clock: this.#clock,
         controls,
         targetDatabaseId,
-        hold: this.#gate,
+        hold: {
+          holdWrites: () => this.#gate.holdWrites(),
+          releaseWrites: () => this.#releaseWrites(),
+        },
         nextOrderer: () => agent.nextOrderer(),
       });
     } finally {
@@ -145,6 +157,12 @@
     }
   }
 
+  /** Looks who leads first: held writes would meet the old primary. */
+  async #releaseWrites(): Promise<void> {
+    await this.#databases.monitor.refreshNow();
+    this.#gate.releaseWrites();
+  }
+
   async #write(attempt: ExecAttempt): Promise<ExecResult> {
     const {req, signal} = attempt;
     const result =
