--- a/src/membership/exchange.ts
+++ b/src/membership/exchange.ts
@@ -4,9 +4,9 @@
 import type {PeerHandler} from '../peers/types.js';
 import type {Clock, Random} from '../platform/clock.js';
 import {elapsedSince, takeInstant, type Instant} from './elapsed.js';
-import {isLive, toPeerAddress} from './known-vm.js';
-import type {Member} from './member.js';
+import {toPeerAddress} from './known-vm.js';
 import type {Members} from './members.js';
+import {PartnerChoice} from './partner-choice.js';
 
 /** Time between the exchanges that one node starts. */
 export const EXCHANGE_INTERVAL_MS = 500;
@@ -14,9 +14,6 @@
 /** Longest time for one step of an exchange. */
 const EXCHANGE_TIMEOUT_MS = 500;
 
-/** Least chance that the partner is a dead or leaving VM, so that islands rejoin. */
-const MIN_GONE_CHANCE = 0.1;
-
 /** Fleets above this size make a connection for each exchange. */
 const POOLED_FLEET_SIZE = 32;
 
@@ -51,7 +48,7 @@
   readonly give: Sections;
   readonly want: Sections;
   /** The answering node's own clocks, returned to it with what it wanted. */
-  readonly stamp: readonly [string, number, number];
+  readonly stamp?: readonly [string, number, number];
 }
 
 /** What an exchange needs. */
@@ -63,16 +60,16 @@
   readonly sections: readonly ExchangeSection[];
 }
 
-/** Exchanges knowledge with one random node at a time. */
+/** Exchanges knowledge with one node at a time. */
 export class Exchange {
   readonly #options: ExchangeOptions;
   readonly #sections: ReadonlyMap<string, ExchangeSection>;
-  #partnersOf: readonly Member[] | undefined;
-  #live: readonly Member[] = [];
-  #gone: readonly Member[] = [];
+  readonly #partners: PartnerChoice;
 
   constructor(options: ExchangeOptions) {
     this.#options = options;
+    const roundMs = EXCHANGE_INTERVAL_MS;
+    this.#partners = new PartnerChoice({...options, roundMs});
     this.#sections = new Map(
       options.sections.map(section => [section.name, section]),
     );
@@ -100,7 +97,7 @@
 
   /** Exchanges with one node; rejects if that fails. */
   async runOnce(): Promise<void> {
-    const partner = this.#choosePartner();
+    const partner = this.#partners.next();
     if (partner === undefined) return;
     const {caller, members} = this.#options;
     const address = toPeerAddress(partner);
@@ -117,23 +114,6 @@
     }
   }
 
-  #choosePartner(): Member | undefined {
-    const {members, random} = this.#options;
-    const {selfId} = members;
-    if (this.#partnersOf !== members.all()) {
-      this.#partnersOf = members.all();
-      const known = this.#partnersOf.filter(vm => vm.id !== selfId);
-      this.#live = known.filter(isLive);
-      this.#gone = known.filter(vm => !isLive(vm));
-    }
-    const goneShare =
-      this.#gone.length / (this.#gone.length + this.#live.length);
-    const goneChance = Math.max(MIN_GONE_CHANCE, goneShare / 2);
-    const tryGone = this.#live.length === 0 || random.next() < goneChance;
-    const choice = this.#gone.length > 0 && tryGone ? this.#gone : this.#live;
-    return choice[Math.floor(random.next() * choice.length)];
-  }
-
   async #exchange(partnerId: string, session: PeerSession): Promise<void> {
     const {clock} = this.#options;
     const limit = {timeoutMs: EXCHANGE_TIMEOUT_MS};
@@ -163,10 +143,14 @@
       if (comparison.give !== undefined) give[name] = comparison.give;
       if (comparison.want !== undefined) want[name] = comparison.want;
     }
+    if (Object.keys(want).length === 0) return {give, want};
+    return {give, want, stamp: this.#takeStamp()};
+  }
+
+  #takeStamp(): readonly [string, number, number] {
     const {monotonicMs, wallMs} = takeInstant(this.#options.clock);
     const {instance} = this.#options.members.selfIdentity;
-    const stamp = [instance, Math.floor(monotonicMs), Math.floor(wallMs)];
-    return {give, want, stamp: stamp as [string, number, number]};
+    return [instance, Math.floor(monotonicMs), Math.floor(wallMs)];
   }
 
   #onProvide(body: unknown, from: string): null {
