--- a/src/groups/failover-agent.ts
+++ b/src/groups/failover-agent.ts
@@ -14,6 +14,8 @@
 import type {DatabaseControl} from './types.js';
 
 const CHECK_PERIOD_MS = 50;
+/** The period while every database answers and hears of its primary. */
+const CALM_CHECK_PERIOD_MS = 200;
 /** How often other nodes are asked about a primary that they do reach. */
 const LINK_FAULT_PAUSE_MS = 500;
 /** Spreads the nodes that notice at once, so that mostly one orders. */
@@ -101,12 +103,16 @@
       const result = await this.#checkOnce();
       if (result === undefined || result.kind === 'promoted') failures = 0;
       else failures += 1;
-      const pauseMs =
-        failures === 0 ? CHECK_PERIOD_MS : this.#backOff(failures);
-      await this.#options.clock.sleep(pauseMs, signal);
+      await this.#options.clock.sleep(this.#pauseMs(failures), signal);
     }
   }
 
+  #pauseMs(failures: number): number {
+    if (failures > 0) return this.#backOff(failures);
+    const {isUneasy} = this.#options.monitor;
+    return isUneasy ? CHECK_PERIOD_MS : CALM_CHECK_PERIOD_MS;
+  }
+
   /** Orders a failover if one is needed. */
   async #checkOnce(): Promise<FailoverResult | undefined> {
     const cause = await this.#lastingCause();
--- a/src/groups/monitor.ts
+++ b/src/groups/monitor.ts
@@ -125,13 +125,13 @@
       const startedAt = this.#clock.now();
       await this.#ask(watched);
       const spentMs = this.#clock.now() - startedAt;
-      const periodMs = this.#isUneasy() ? URGENT_PERIOD_MS : this.#periodMs;
+      const periodMs = this.isUneasy ? URGENT_PERIOD_MS : this.#periodMs;
       await this.#clock.sleep(Math.max(0, periodMs - spentMs), signal);
     }
   }
 
   /** Whether a failover may be near or under way. */
-  #isUneasy(): boolean {
+  get isUneasy(): boolean {
     return this.#watched.some(
       ({status, unansweredSince}) =>
         unansweredSince !== undefined ||
--- a/src/home/group-databases.ts
+++ b/src/home/group-databases.ts
@@ -20,6 +20,8 @@
 /** How long a database must be silent before its statements are given up. */
 const ABANDON_AFTER_MS = 800;
 const ABANDON_CHECK_MS = 100;
+/** The same while every database answers; a silent one is noted in 500 ms. */
+const CALM_ABANDON_CHECK_MS = 200;
 /** How long a database must be silent before nothing new is sent to it. */
 const UNREACHABLE_AFTER_MS = 500;
 
@@ -174,7 +176,10 @@
   async #abandonSilent(): Promise<void> {
     const {signal} = this.#stopping;
     while (!signal.aborted) {
-      await this.clock.sleep(ABANDON_CHECK_MS, signal);
+      const {isUneasy} = this.monitor;
+      const pauseMs = isUneasy ? ABANDON_CHECK_MS : CALM_ABANDON_CHECK_MS;
+      await this.clock.sleep(pauseMs, signal);
+      if (!this.monitor.isUneasy) continue;
       for (const {spec, unreachableMs} of this.view().databases) {
         if (unreachableMs >= ABANDON_AFTER_MS) this.runs.abandon(spec.id);
       }
