--- a/src/targets/frames.ts
+++ b/src/targets/frames.ts
@@ -133,6 +133,23 @@
   }
 }
 
+/**
+ * Splits bytes that a {@link FrameReader} has delivered, so whole frames only.
+ *
+ * @example
+ * for (const {type} of splitFrames(bytes)) types.push(type);
+ */
+export function* splitFrames(bytes: Buffer): Iterable<Frame> {
+  for (let at = 0; at < bytes.length;) {
+    const end = at + 1 + bytes.readInt32BE(at + 1);
+    yield {
+      type: String.fromCharCode(bytes[at] ?? 0),
+      bytes: bytes.subarray(at, end),
+    };
+    at = end;
+  }
+}
+
 function joinChunks(parts: readonly Uint8Array[], length: number): Buffer {
   const filled = parts.filter(part => part.length > 0);
   const only = filled.length === 1 ? filled[0] : undefined;
--- a/src/targets/query-rows.ts
+++ b/src/targets/query-rows.ts
@@ -1,8 +1,8 @@
 /** Runs one simple query and gathers its rows. */
 import {serialize} from 'pg-protocol';
 import {
-  FrameReader,
   readErrorFields,
+  splitFrames,
   type ErrorFields,
   type Frame,
 } from './frames.js';
@@ -35,13 +35,11 @@
   return readRows(chunks);
 }
 
-async function readRows(
-  chunks: readonly Uint8Array[],
-): Promise<readonly TextRow[]> {
+function readRows(chunks: readonly Uint8Array[]): readonly TextRow[] {
   const rows: TextRow[] = [];
   let columns: readonly string[] = [];
   let failure: ErrorFields | undefined;
-  for await (const frame of new FrameReader(toStream(chunks))) {
+  for (const frame of splitFrames(Buffer.concat(chunks))) {
     if (frame.type === 'T') columns = readColumns(frame);
     if (frame.type === 'D') rows.push(readRow(frame, columns));
     if (frame.type === 'E') failure = readErrorFields(frame.bytes);
@@ -50,12 +48,6 @@
   throw new TargetError('refused', failure.message, failure.code);
 }
 
-async function* toStream(
-  chunks: readonly Uint8Array[],
-): AsyncIterable<Uint8Array> {
-  yield* chunks;
-}
-
 function readColumns({bytes}: Frame): readonly string[] {
   const names: string[] = [];
   const count = bytes.readInt16BE(FIELD_COUNT_OFFSET);
