--- a/src/groups/failover-agent.ts
+++ b/src/groups/failover-agent.ts
@@ -1,5 +1,6 @@
 /** Watches one group and orders a failover when it needs one. */
 import type {Clock, Random} from '../platform/clock.js';
+import {sleepToTick} from '../platform/timer.js';
 import {
   assessNeed,
   suspect,
@@ -14,6 +15,8 @@
 import type {DatabaseControl} from './types.js';
 
 const CHECK_PERIOD_MS = 50;
+/** The period while every database answers and hears of its primary. */
+const CALM_CHECK_PERIOD_MS = 200;
 /** How often other nodes are asked about a primary that they do reach. */
 const LINK_FAULT_PAUSE_MS = 500;
 /** Spreads the nodes that notice at once, so that mostly one orders. */
@@ -101,12 +104,19 @@
       const result = await this.#checkOnce();
       if (result === undefined || result.kind === 'promoted') failures = 0;
       else failures += 1;
-      const pauseMs =
-        failures === 0 ? CHECK_PERIOD_MS : this.#backOff(failures);
-      await this.#options.clock.sleep(pauseMs, signal);
+      await this.#pause(failures);
     }
   }
 
+  #pause(failures: number): Promise<void> {
+    const {clock, monitor} = this.#options;
+    const {signal} = this.#stopping;
+    if (failures > 0) return clock.sleep(this.#backOff(failures), signal);
+    const {isUneasy} = monitor;
+    const periodMs = isUneasy ? CHECK_PERIOD_MS : CALM_CHECK_PERIOD_MS;
+    return sleepToTick(clock, periodMs, signal);
+  }
+
   /** Orders a failover if one is needed. */
   async #checkOnce(): Promise<FailoverResult | undefined> {
     const cause = await this.#lastingCause();
--- a/src/home/group-databases.ts
+++ b/src/home/group-databases.ts
@@ -1,5 +1,6 @@
 /** What a group's home holds: its monitor, its lanes and what it knows. */
 import type {Clock, Random} from '../platform/clock.js';
+import {sleepToTick} from '../platform/timer.js';
 import {AckTracker} from '../groups/acknowledgement.js';
 import type {EvidencePort} from '../groups/evidence.js';
 import {FailoverAgent, type FailoverEvent} from '../groups/failover-agent.js';
@@ -20,6 +21,8 @@
 /** How long a database must be silent before its statements are given up. */
 const ABANDON_AFTER_MS = 800;
 const ABANDON_CHECK_MS = 100;
+/** The same while every database answers; a silent one is noted in 500 ms. */
+const CALM_ABANDON_CHECK_MS = 200;
 /** How long a database must be silent before nothing new is sent to it. */
 const UNREACHABLE_AFTER_MS = 500;
 
@@ -186,7 +189,10 @@
   async #abandonSilent(): Promise<void> {
     const {signal} = this.#stopping;
     while (!signal.aborted) {
-      await this.clock.sleep(ABANDON_CHECK_MS, signal);
+      const {isUneasy} = this.monitor;
+      const periodMs = isUneasy ? ABANDON_CHECK_MS : CALM_ABANDON_CHECK_MS;
+      await sleepToTick(this.clock, periodMs, signal);
+      if (!this.monitor.isUneasy) continue;
       for (const {spec, unreachableMs} of this.view().databases) {
         if (unreachableMs >= ABANDON_AFTER_MS) this.runs.abandon(spec.id);
       }
