--- a/test/cli/group.test.ts
+++ b/test/cli/group.test.ts
@@ -4,7 +4,7 @@
   type StoreServer,
 } from '../../standins/store/server.js';
 import {runCli} from './cli-fixture.js';
-import {JsonAdmin, type AnswerOf} from './report-admin.js';
+import {JsonAdmin, type AnswerOf} from './json-admin.js';
 
 const HOMES = {claims: 'vm2', ledger: 'vm1'};
 
--- a/test/cli/report-burn.test.ts
+++ b/test/cli/report-burn.test.ts
@@ -19,7 +19,7 @@
   WINDOWS,
 } from '../telemetry/fixture.js';
 import {runCli} from './cli-fixture.js';
-import {JsonAdmin} from './report-admin.js';
+import {JsonAdmin} from './json-admin.js';
 
 let server: StoreServer;
 let admins: readonly JsonAdmin[];
