--- a/test/callers/harness.ts
+++ b/test/callers/harness.ts
@@ -1,7 +1,7 @@
 /** One group of databases and the servers in front of it, in this process. */
 import type {SecureContext} from 'node:tls';
 import pg from 'pg';
-import {afterAll, afterEach, beforeAll} from 'vitest';
+import {afterAll, afterEach, beforeAll, expect, vi} from 'vitest';
 import {
   createDatabaseGroup,
   type Database,
@@ -27,6 +27,8 @@
 const TOKEN_SECRET = 'token-secret-of-the-tests';
 const CONNECT_TIMEOUT_MS = 2_000;
 const DRAIN_MS = 2_000;
+/** For what a test waits for. */
+export const WAIT = {timeout: 10_000, interval: 10};
 
 /** How a harness differs from its defaults. */
 export interface HarnessOptions {
@@ -159,6 +161,19 @@
     return wire;
   }
 
+  /** Opens such a connection and logs in. */
+  async logInWire(): Promise<WireClient> {
+    const wire = await this.connectWire();
+    await wire.logIn();
+    return wire;
+  }
+
+  /** Waits until the home runs this many batches and open transactions. */
+  async untilActive(count: number): Promise<void> {
+    const {homes} = this.node;
+    await vi.waitFor(() => expect(homes.active).toBe(count), WAIT);
+  }
+
   /** Ends the clients and undoes what a test set. */
   async reset(): Promise<void> {
     for (const wire of this.#wires.splice(0)) wire.destroy();
