--- a/src/home/home-service.ts
+++ b/src/home/home-service.ts
@@ -129,9 +129,10 @@
     for (const home of this.#outgoing) home.release(pin);
   }
 
-  /** Asks the databases to stop what a session runs. */
+  /** Stops what a session runs, or takes it out of the queue. */
   cancel(group: string, sessionId: string): void {
     this.#homes.get(group)?.home.cancel(sessionId);
+    for (const home of this.#outgoing) home.cancel(sessionId);
   }
 
   /** Makes a database primary by the operator's order. */
--- a/test/callers/cancel.test.ts
+++ b/test/callers/cancel.test.ts
@@ -70,6 +70,22 @@
     expect(ended).toEqual(sleepers.map(() => '57014'));
   });
 
+  it('stops a transaction at a home that was described anew', async () => {
+    const client = await harness.connect();
+    await client.query('BEGIN');
+    harness.slots = 3;
+    await (await harness.connect()).query('SELECT 1');
+    const outcome = expectSqlstate(
+      client.query('SELECT pg_sleep(60)'),
+      '57014',
+    );
+    let stopped = false;
+    void outcome.finally(() => (stopped = true)).catch(() => {});
+    const {processID, secretKey} = keyOfClient(client);
+    while (!stopped) await cancel(processID, secretKey);
+    await outcome;
+  });
+
   it('stops nothing by a wrong secret', async () => {
     const client = await harness.connect();
     const sleeping = client.query('SELECT pg_sleep(0.3)');
