--- a/demo/session-load.ts
+++ b/demo/session-load.ts
@@ -1,7 +1,12 @@
 /** One session of the load: writes, reads its own writes, and roams. */
 import pg from 'pg';
 import type {FleetNode} from './fleet.js';
-import {outcomeOf, type CounterRecord, type LoadRecord} from './record.js';
+import {
+  outcomeOf,
+  type ClientOutcome,
+  type CounterRecord,
+  type LoadRecord,
+} from './record.js';
 
 /** Statements before a session moves to another node. */
 const STATEMENTS_A_CONNECTION = 25;
@@ -45,6 +50,8 @@
   /** The least value that the session must read back from its counter. */
   #floor = 0;
   #created = false;
+  /** How this session's last failed statement ended. */
+  #lastFailure: ClientOutcome | undefined;
 
   constructor(options: SessionLoadOptions) {
     this.#options = options;
@@ -140,7 +147,6 @@
 
   async #increment(client: pg.Client): Promise<void> {
     const sql = 'UPDATE counters SET value = value + $1 WHERE id = $2';
-    const before = this.#options.record.failures.length;
     const done = await this.#query(client, 'write', sql, [
       '1',
       this.#counter.id,
@@ -150,8 +156,7 @@
       this.#floor++;
       return;
     }
-    const failure = this.#options.record.failures[before];
-    if (failure?.outcome !== 'notRun') this.#counter.unknown++;
+    if (this.#lastFailure !== 'notRun') this.#counter.unknown++;
   }
 
   /** Inserts two rows in one transaction. */
@@ -209,6 +214,7 @@
       const isCut = !/^[0-9A-Z]{5}$/.test(code);
       if (isCut) record.cutRequests++;
       const outcome = isCut ? 'unknown' : outcomeOf(code);
+      this.#lastFailure = outcome;
       const at = performance.now();
       record.failures.push({at, team, outcome, sqlstate: code, message});
       if (isCut) this.#client = undefined;
--- /dev/null
+++ b/test/demo/session-load.test.ts
@@ -0,0 +1,43 @@
+import {setTimeout} from 'node:timers/promises';
+import {expect, test} from 'vitest';
+import type {FleetNode} from '../../demo/fleet.js';
+import {LoadRecord} from '../../demo/record.js';
+import {SessionLoad, WRITES} from '../../demo/session-load.js';
+import {createDatabase} from '../../standins/database/index.js';
+
+const PACE_MS = 5;
+const FREEZE_MS = 60_000;
+/** Time enough for a statement to be on its way. */
+const IN_FLIGHT_MS = 100;
+
+test('a write that was cut counts as unknown, whatever other sessions saw meanwhile', async () => {
+  const database = await createDatabase({primary: true});
+  const record = new LoadRecord();
+  let isOver = false;
+  const running = new SessionLoad({
+    id: 's1',
+    team: 'zinnia',
+    key: 'zinnia',
+    group: 'app',
+    nodes: [{port: database.port} as FleetNode],
+    record,
+    paceMs: PACE_MS,
+    mix: WRITES,
+    random: () => 0.5,
+    isOver: () => isOver,
+  }).run();
+  const [counter] = record.counters;
+  await expect.poll(() => counter?.acknowledged).toBeGreaterThan(0);
+  await fetch(`http://127.0.0.1:${database.adminPort}/freeze`, {
+    method: 'POST',
+    body: JSON.stringify({ms: FREEZE_MS}),
+  });
+  await setTimeout(IN_FLIGHT_MS);
+  const outcome = 'notRun';
+  const foreign = {at: 0, team: 'other', outcome, sqlstate: '57P03'} as const;
+  record.failures.push({...foreign, message: 'refused'});
+  await database.close();
+  isOver = true;
+  await running;
+  expect(counter?.unknown).toBe(1);
+});
