--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -1,6 +1,6 @@
 /** Child processes of the demo, the benches and the process tests. */
 import {spawn, type ChildProcess} from 'node:child_process';
-import {createServer, type AddressInfo} from 'node:net';
+import {createServer, type AddressInfo, type Server} from 'node:net';
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 
@@ -13,6 +13,8 @@
   'dist',
 );
 const START_TIMEOUT_MS = 20_000;
+const FIRST_PORT = 10_000;
+const PORTS = 20_000;
 
 /** Processes still running, ended with this one whatever ends it. */
 const running = new Set<ChildProcess>();
@@ -91,20 +93,29 @@
   }
 }
 
-/** Finds free ports on the loopback interface. */
+/**
+ * Finds free ports on the loopback interface, below those that the system gives
+ * to outgoing connections: such a connection could take one before its use.
+ */
 export async function findPorts(count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(
-    Array.from({length: count}, async () => {
-      const server = createServer();
-      await new Promise<void>(resolve =>
-        server.listen(0, '127.0.0.1', () => resolve()),
-      );
-      return server;
-    }),
-  );
+  const servers: Server[] = [];
+  while (servers.length < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    const server = await tryListen(port);
+    if (server !== undefined) servers.push(server);
+  }
   const ports = servers.map(server => (server.address() as AddressInfo).port);
   await Promise.all(
     servers.map(server => new Promise(resolve => server.close(resolve))),
   );
   return ports;
 }
+
+/** Undefined if the port is taken. */
+function tryListen(port: number): Promise<Server | undefined> {
+  const server = createServer();
+  return new Promise(resolve => {
+    server.once('error', () => resolve(undefined));
+    server.listen(port, '127.0.0.1', () => resolve(server));
+  });
+}
