--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -8,6 +8,7 @@
 import {isLive, toPeerAddress} from './known-vm.js';
 import {isMemberIdentity, type Member, type MemberIdentity} from './member.js';
 import type {Members} from './members.js';
+import {decodeProbeAnswer, encodeProbeAnswer} from './probe-answer.js';
 import {rankByRendezvous} from './rendezvous.js';
 import type {StoreContact} from './store-contact.js';
 
@@ -41,12 +42,9 @@
   readonly random: Random;
 }
 
-interface ProbeAnswer extends MemberIdentity {
-  /** Age of the answering node's proof of contact with the store. */
-  readonly storeAgeMs?: number;
-}
-
-interface RelayedAnswer extends ProbeAnswer {
+interface RelayedAnswer {
+  /** The encoded answer of the probed node. */
+  readonly answer: unknown;
   /** Longest time between the answer and its relaying. */
   readonly relayMs: number;
 }
@@ -144,7 +142,7 @@
     );
   }
 
-  async #probeFresh(vm: Member): Promise<ProbeAnswer> {
+  async #probeFresh(vm: Member): Promise<unknown> {
     const {caller, clock} = this.#options;
     const start = takeInstant(clock);
     const answer = await callFresh(
@@ -155,19 +153,19 @@
       {timeoutMs: FRESH_PROBE_TIMEOUT_MS},
     );
     this.#accept(vm.id, answer, elapsedSince(clock, start));
-    return answer as ProbeAnswer;
+    return answer;
   }
 
   async #probeThrough(helper: Member, vm: Member): Promise<void> {
     const {caller, clock} = this.#options;
     const start = takeInstant(clock);
-    const answer = (await caller.call(
+    const {answer, relayMs} = (await caller.call(
       toPeerAddress(helper),
       METHOD_PROBE_FOR,
       {id: vm.id},
       {timeoutMs: PROBE_TIMEOUT_MS},
     )) as RelayedAnswer;
-    const ageMs = elapsedSince(clock, start) + Number(answer.relayMs);
+    const ageMs = elapsedSince(clock, start) + Number(relayMs);
     this.#accept(vm.id, answer, ageMs);
   }
 
@@ -184,17 +182,16 @@
     return helpers;
   }
 
-  #accept(id: string, answer: unknown, elapsedMs: number): void {
-    if (!isMemberIdentity(answer)) return;
-    const {instance, incarnation, status} = answer;
+  #accept(id: string, encoded: unknown, elapsedMs: number): void {
+    const answer = decodeProbeAnswer(encoded);
+    if (answer === undefined) return;
+    const {storeAgeMs, ...identity} = answer;
     const {contact, members} = this.#options;
-    members.applyAnswer(id, {instance, incarnation, status}, elapsedMs);
-    const {storeAgeMs} = answer as ProbeAnswer;
-    if (typeof storeAgeMs !== 'number' || !(storeAgeMs >= 0)) return;
-    contact.noteContact(storeAgeMs + elapsedMs);
+    members.applyAnswer(id, identity, elapsedMs);
+    if (storeAgeMs !== undefined) contact.noteContact(storeAgeMs + elapsedMs);
   }
 
-  #onProbe(body: unknown): ProbeAnswer {
+  #onProbe(body: unknown): readonly unknown[] {
     const {contact, members} = this.#options;
     // What the prober thinks of this node, unless it thinks it alive.
     if (isMemberIdentity(body)) {
@@ -203,7 +200,9 @@
     const {instance, incarnation, status} = members.selfIdentity;
     const identity = {instance, incarnation, status};
     const storeAgeMs = Math.ceil(contact.ageMs());
-    return Number.isFinite(storeAgeMs) ? {...identity, storeAgeMs} : identity;
+    return encodeProbeAnswer(
+      Number.isFinite(storeAgeMs) ? {...identity, storeAgeMs} : identity,
+    );
   }
 
   async #onProbeFor(body: unknown): Promise<RelayedAnswer> {
@@ -215,7 +214,7 @@
     const start = takeInstant(clock);
     const answer = await this.#probeFresh(vm);
     const relayMs = Math.ceil(elapsedSince(clock, start));
-    return {...answer, relayMs};
+    return {answer, relayMs};
   }
 
   /** What this node thinks of a VM, for it to refute; null if it is alive. */
