--- a/src/admission/demand-table.ts
+++ b/src/admission/demand-table.ts
@@ -10,6 +10,7 @@
 interface Heard {
   readonly demand: number;
   readonly tokens: number;
+  readonly isStandby: boolean;
   readonly atMs: number;
 }
 
@@ -30,9 +31,9 @@
 
   note(sync: SyncMessage): void {
     this.forget(sync.holder);
-    const {demand, tokens} = sync;
+    const {demand, tokens, isStandby} = sync;
     const atMs = this.#clock.now();
-    this.#heard.set(sync.holder, {demand, tokens, atMs});
+    this.#heard.set(sync.holder, {demand, tokens, isStandby, atMs});
     this.#total += demand;
   }
 
@@ -53,6 +54,11 @@
     return this.#heard.get(holder)?.demand ?? 0;
   }
 
+  /** Whether a holder said last that it keeps a reserve. */
+  isStandby(holder: string): boolean {
+    return this.#heard.get(holder)?.isStandby ?? false;
+  }
+
   heardAtMs(holder: string): number {
     return this.#heard.get(holder)?.atMs ?? -Infinity;
   }
--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -205,6 +205,7 @@
 
   /** Hands everything back, and the ownership on. */
   async leave(): Promise<void> {
+    this.#isStandby = false;
     await this.#succession.handOn();
     // The first message may only move the share to the next owner.
     for (let attempt = 0; attempt < MAX_LEAVE_ATTEMPTS; attempt++) {
@@ -278,6 +279,7 @@
       knownEpoch: this.#ownership.epoch,
       demand: purpose === 'release' ? 0 : this.#meter.perSecond,
       waiting: this.#supply.waiting,
+      isStandby: this.#isStandby && purpose !== 'release',
     };
   }
 }
--- a/src/admission/team-holder.ts
+++ b/src/admission/team-holder.ts
@@ -44,6 +44,7 @@
   readonly knownEpoch: number;
   readonly demand: number;
   readonly waiting: number;
+  readonly isStandby: boolean;
 }
 
 /** A holder's share and its tokens. Gives up first, then tells the owner. */
--- a/src/admission/team-owner.ts
+++ b/src/admission/team-owner.ts
@@ -92,10 +92,6 @@
     return this.#ledger.pool;
   }
 
-  get hasUnaccounted(): boolean {
-    return !isNoShare(this.#ledger.unaccounted);
-  }
-
   get tokens(): number {
     this.#refit();
     return this.#bucket.tokens;
@@ -233,7 +229,8 @@
     const demand = this.#demands.demandOf(holder);
     const target = targetShare(demand, this.#totalDemand(), limits);
     const standbys = this.#standbys();
-    if (!standbys.includes(holder)) return target;
+    const isStandby = this.#demands.isStandby(holder);
+    if (!isStandby || !standbys.includes(holder)) return target;
     const shares = standbys.map(one => this.#ledger.shareOf(one));
     const here = shares.reduce(addShares, this.#ledger.pool);
     return maxShare(target, reserveShare(here, standbys.length));
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -88,6 +88,8 @@
   readonly demand: number;
   /** Statements that wait for this answer. */
   readonly waiting: number;
+  /** Whether the holder keeps a reserve without work of its own. */
+  readonly isStandby: boolean;
 }
 
 /**
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -39,7 +39,7 @@
 const CANCEL_METHOD = 'callers.cancel';
 const CANCEL_TIMEOUT_MS = 1_000;
 /** How long a starting node may take up budgets before it serves callers. */
-const PREPARE_WAIT_MS = 500;
+const PREPARE_WAIT_MS = 2_000;
 
 /** The ports of a running node. */
 export interface NodePorts {
@@ -150,8 +150,10 @@
 
   /** Within limits: without the store there is nothing to take up. */
   async #prepareBudgets(): Promise<void> {
-    const late = this.#clock.sleep(PREPARE_WAIT_MS);
-    await Promise.race([this.#budgets.prepare(), late]);
+    const prepared = this.#budgets.prepare().then(() => true);
+    const late = this.#clock.sleep(PREPARE_WAIT_MS).then(() => false);
+    if (await Promise.race([prepared, late])) return;
+    this.#log.warn('budgetsNotPrepared', {waitedMs: PREPARE_WAIT_MS});
   }
 
   #createContext(): NodeContext {
--- a/test/admission/budget-failures.test.ts
+++ b/test/admission/budget-failures.test.ts
@@ -317,6 +317,7 @@
     tokensBack: 0,
     demand: 0,
     waiting: 0,
+    isStandby: false,
     ...changes,
   };
 }
--- a/test/admission/ledger.test.ts
+++ b/test/admission/ledger.test.ts
@@ -20,6 +20,7 @@
     tokensBack: 0,
     demand: 1,
     waiting: 0,
+    isStandby: false,
   };
 }
 
--- a/test/admission/lost-owner.test.ts
+++ b/test/admission/lost-owner.test.ts
@@ -1,5 +1,6 @@
 import {expect, test} from 'vitest';
 import type {BudgetService} from '../../src/admission/budget-service.js';
+import {WHOLE_UNITS} from '../../src/admission/share.js';
 import {Cluster, type ClusterNode, type Decision} from './cluster.js';
 import {worstExcess} from './law.js';
 
@@ -117,3 +118,16 @@
   const admitted = decisions.filter(one => one.retryAfterMs === undefined);
   expect(admitted.length / decisions.length).toBeGreaterThan(TARGET_SHARE);
 });
+
+test('a standby that leaves hands its reserve back', async () => {
+  const cluster = await createCluster();
+  for (const service of cluster.services.values()) service.standBy([TEAM]);
+  await cluster.time.advance(IDLE_MS);
+  const left = cluster.leave(cluster.nodes[1]!);
+  await cluster.time.advance(1_000);
+  await left;
+  const held = cluster.alive
+    .flatMap(({ref}) => cluster.services.get(ref.instance)!.status())
+    .reduce((sum, {share}) => sum + share.rate, 0);
+  expect(held).toBe(WHOLE_UNITS);
+});
--- a/test/admission/team-holder.test.ts
+++ b/test/admission/team-holder.test.ts
@@ -14,6 +14,7 @@
   knownEpoch: 2,
   demand: 10,
   waiting: 1,
+  isStandby: false,
 };
 
 function createHolder() {
