--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -1,6 +1,7 @@
 /**
- * `npm run bench -- fleet [seconds] [profile]`: one team sends ten times its rate while
- * the others keep theirs, in calm and through faults of VMs and the store.
+ * `npm run bench -- fleet [seconds] [profile]`: one team sends ten times its
+ * rate while the others keep theirs, in calm and through faults of VMs and the
+ * store.
  */
 import {Fleet, type FleetNode} from '../demo/fleet.js';
 import {LUMBRE, TASMAN, type Profile} from '../demo/profiles.js';
