--- a/src/home/home-router.ts
+++ b/src/home/home-router.ts
@@ -52,15 +52,18 @@
     const deadlineAt = this.#options.clock.now() + req.deadlineMs;
     const homes = this.#options.homeOrder(req.group).slice(0, MAX_HOMES);
     let last = failedResult(noHome(req.group));
+    let lost: ExecResult | undefined;
     for (const home of homes) {
       const leftMs = deadlineAt - this.#options.clock.now();
-      if (leftMs <= 0) return last;
+      if (leftMs <= 0) break;
       const tracked = trackParts(sink);
       const attempt = {...req, deadlineMs: leftMs};
       last = await this.#tryHome(home, attempt, tracked.sink, signal);
-      if (!mayTryNext(req, last.verdict, tracked.forwarded())) return last;
+      if (last.verdict.kind === 'mayHaveRun') lost = last;
+      if (!mayTryNext(req, last.verdict, tracked.forwarded())) break;
     }
-    return last;
+    // An earlier home may have run it, whatever the last one says.
+    return last.verdict.kind === 'notRun' ? (lost ?? last) : last;
   }
 
   release(group: string, pin: string): void {
--- a/src/home/read-loop.ts
+++ b/src/home/read-loop.ts
@@ -78,13 +78,16 @@
   ): Promise<ExecResult> {
     const {databases, path} = this.#options;
     const attempt = {...read, avoid, onSlow, ...entrant};
+    let lost: ExecResult | undefined;
     try {
       for (;;) {
         const outcome = await path.attempt(attempt);
         if (outcome.result.verdict.kind === 'done') return outcome.result;
         if (outcome.forwarded) return failedResult(brokenOff());
+        if (outcome.lost) lost = outcome.result;
         const final = this.#finalResult(outcome, read, entrant);
-        if (final !== undefined) return final;
+        // An earlier try may have run, whatever became of the last one.
+        if (final !== undefined) return lost ?? final;
         if (outcome.databaseId !== undefined) {
           avoid.add(outcome.databaseId);
           continue;
