--- a/src/admission/owner-link.ts
+++ b/src/admission/owner-link.ts
@@ -73,6 +73,11 @@
       const reply = await this.#call(to, sent, timeoutMs);
       if (reply?.kind === 'granted' && sent !== purpose) continue;
       if (reply?.kind === 'busy') ownership.avoid(to);
+      if (reply === undefined && !ownership.isSettled) {
+        // It was asked as the first choice; the next one may take the budget.
+        avoided = to;
+        continue;
+      }
       if (reply?.kind !== 'notOwner') return;
       // Without the store, another node may still know the owner.
       if (reply.owner === undefined) ownership.avoid(to);
--- a/test/admission/prepare.test.ts
+++ b/test/admission/prepare.test.ts
@@ -1,5 +1,9 @@
 import {expect, test} from 'vitest';
+import {BudgetService} from '../../src/admission/budget-service.js';
+import {VirtualClock} from '../fakes/virtual-clock.js';
 import {Cluster} from './cluster.js';
+import {createRandom} from './random.js';
+import {RecordStore} from './record-store.js';
 
 /** Longer than several rounds of a service's housekeeping. */
 const SLOW_CALL_MS = 700;
@@ -16,3 +20,31 @@
   await cluster.time.advance(1_000);
   expect(await admitted).toEqual({kind: 'admitted'});
 });
+
+test('a statement is served though the first choice does not run yet', async () => {
+  const clock = new VirtualClock();
+  const store = new RecordStore().seenBy({clock, isCut: false});
+  const self = {vm: 'vm1', instance: 'vm1/a'};
+  const starting = {vm: 'vm2', instance: 'vm2/a'};
+  const service = new BudgetService({
+    self,
+    clock,
+    random: createRandom(1),
+    store,
+    standing: {standing: () => 'current'},
+    config: {
+      limits: () => ({rate: 10, burst: 10}),
+      retired: () => new Set(),
+      retire: () => Promise.resolve(),
+    },
+    peers: {
+      call: () => Promise.reject(new Error('connection refused')),
+      live: () => [starting, self],
+      isGone: () => false,
+      homeOrder: () => [starting, self],
+    },
+  });
+  const admission = service.admit('a', clock.now() + 500);
+  await clock.advance(500);
+  expect(await admission).toEqual({kind: 'admitted'});
+});
