--- a/src/admission/ownership.ts
+++ b/src/admission/ownership.ts
@@ -1,5 +1,7 @@
 /** Finds, takes and hands on the ownership of one team's budget. */
 
+import type {Clock} from '../platform/clock.js';
+import {AvoidedNodes} from './avoided-nodes.js';
 import {
   budgetKey,
   type BudgetRecord,
@@ -18,6 +20,7 @@
 export interface OwnershipDeps {
   readonly team: string;
   readonly self: string;
+  readonly clock: Clock;
   readonly guard: SpendGuard;
   readonly peers: BudgetPeers;
   readonly records: BudgetRecords;
@@ -30,10 +33,11 @@
   #loading: Promise<void> | undefined;
   #claiming: Promise<boolean> | undefined;
   #nextLoadAtMs = -Infinity;
-  readonly #avoidUntilMs = new Map<string, number>();
+  readonly #avoided: AvoidedNodes;
 
   constructor(deps: OwnershipDeps) {
     this.#deps = deps;
+    this.#avoided = new AvoidedNodes(deps.clock, AVOID_MS);
   }
 
   /** The highest epoch known; 0 before any. */
@@ -79,7 +83,7 @@
 
   /** Has another node asked where `instance` did not answer as the owner. */
   avoid(instance: string): void {
-    this.#avoidUntilMs.set(instance, this.#deps.guard.nowMs + AVOID_MS);
+    this.#avoided.add(instance);
   }
 
   /** Reads the record, but not again at once. */
@@ -180,12 +184,7 @@
 
   #firstChoice(except?: string): string | undefined {
     const fit = this.candidates().filter(one => one !== except);
-    return fit.find(one => !this.#isAvoided(one)) ?? fit[0];
-  }
-
-  #isAvoided(instance: string): boolean {
-    const untilMs = this.#avoidUntilMs.get(instance);
-    return untilMs !== undefined && this.#deps.guard.nowMs < untilMs;
+    return fit.find(one => !this.#avoided.has(one)) ?? fit[0];
   }
 }
 
--- a/src/admission/remote-spender.ts
+++ b/src/admission/remote-spender.ts
@@ -1,6 +1,7 @@
 /** Has other nodes spend tokens for this node's statements. */
 
 import type {Clock} from '../platform/clock.js';
+import {AvoidedNodes} from './avoided-nodes.js';
 import {SPEND_VALID_MS} from './remote-spends.js';
 import type {BudgetPeers, SpendMessage} from './types.js';
 
@@ -22,32 +23,30 @@
   readonly candidates: () => readonly string[];
 }
 
-interface Waiter {
-  readonly resolve: (isSpent: boolean) => void;
-}
-
 /**
  * The way to tokens while the owner can't be asked. No share moves: the node
  * that holds it spends it, so a lost message loses a token and doubles none.
  */
 export class RemoteSpender {
   readonly #deps: RemoteSpenderDeps;
-  #waiters: Waiter[] = [];
+  /** Each tells one waiting statement whether it may run. */
+  #waiters: ((isSpent: boolean) => void)[] = [];
   #isRunning = false;
   #nextRoundAtMs = -Infinity;
   #lastHelper: string | undefined;
   #cursor = 0;
-  readonly #silentUntilMs = new Map<string, number>();
+  readonly #silent: AvoidedNodes;
 
   constructor(deps: RemoteSpenderDeps) {
     this.#deps = deps;
+    this.#silent = new AvoidedNodes(deps.clock, SILENT_PAUSE_MS);
   }
 
   /** Whether a statement of this node may run on another node's token. */
   async trySpend(): Promise<boolean> {
     if (this.#deps.clock.now() < this.#nextRoundAtMs) return false;
     const spent = new Promise<boolean>(resolve => {
-      this.#waiters.push({resolve});
+      this.#waiters.push(resolve);
     });
     void this.#run();
     return spent;
@@ -67,7 +66,7 @@
     for (const node of this.#choose()) {
       const spent = await this.#ask(node);
       this.#lastHelper = spent > 0 ? node : undefined;
-      for (const {resolve} of this.#waiters.splice(0, spent)) resolve(true);
+      for (const tell of this.#waiters.splice(0, spent)) tell(true);
       if (spent > 0) return true;
     }
     return false;
@@ -75,7 +74,7 @@
 
   #refuseAll(): void {
     this.#nextRoundAtMs = this.#deps.clock.now() + EMPTY_ROUND_PAUSE_MS;
-    for (const {resolve} of this.#waiters.splice(0)) resolve(false);
+    for (const tell of this.#waiters.splice(0)) tell(false);
   }
 
   /** The node that helped last, then the others in turn. */
@@ -83,7 +82,7 @@
     const {self, candidates} = this.#deps;
     const others = candidates().filter(
       node =>
-        node !== self && node !== this.#lastHelper && !this.#isSilent(node),
+        node !== self && node !== this.#lastHelper && !this.#silent.has(node),
     );
     const start = others.length === 0 ? 0 : this.#cursor++ % others.length;
     const inTurn = [...others.slice(start), ...others.slice(0, start)];
@@ -102,16 +101,8 @@
       const isValid = clock.now() - askedAtMs < SPEND_VALID_MS;
       return reply.kind === 'spent' && isValid ? reply.count : 0;
     } catch {
-      this.#silentUntilMs.set(node, clock.now() + SILENT_PAUSE_MS);
+      this.#silent.add(node);
       return 0;
     }
   }
-
-  #isSilent(node: string): boolean {
-    const untilMs = this.#silentUntilMs.get(node);
-    if (untilMs === undefined) return false;
-    if (this.#deps.clock.now() < untilMs) return true;
-    this.#silentUntilMs.delete(node);
-    return false;
-  }
 }
--- a/src/admission/remote-spends.ts
+++ b/src/admission/remote-spends.ts
@@ -32,6 +32,8 @@
 
   /** Tokens whose statements may still be admitted elsewhere. */
   get underWay(): number {
+    // Asked at each admission, and nearly always empty.
+    if (this.#spends.length === 0) return 0;
     const nowMs = this.#clock.now();
     this.#spends = this.#spends.filter(one => nowMs < one.untilMs);
     return this.#spends.reduce((sum, one) => sum + one.count, 0);
--- a/src/admission/sync-schedule.ts
+++ b/src/admission/sync-schedule.ts
@@ -62,7 +62,7 @@
 
   /** Whether the owner answered the last message. */
   get isAnswered(): boolean {
-    return this.#failures === 0 && this.#tokenDueAtMs !== -Infinity;
+    return !this.isSilent && this.#tokenDueAtMs !== -Infinity;
   }
 
   /** Whether the owner did not answer the last message. */
@@ -73,7 +73,7 @@
   /** Whether the owner answered a moment ago. */
   get isOwnerFresh(): boolean {
     const silentMs = this.#clock.now() - this.#answeredAtMs;
-    return this.#failures === 0 && silentMs < OWNER_FRESH_MS;
+    return !this.isSilent && silentMs < OWNER_FRESH_MS;
   }
 
   sent(demand: number): void {
--- a/src/admission/team-budget.ts
+++ b/src/admission/team-budget.ts
@@ -63,7 +63,14 @@
     const self = deps.self.instance;
     this.#deps = deps;
     this.#meter = new DemandMeter(clock);
-    this.#ownership = new Ownership({team, self, guard, peers, records});
+    this.#ownership = new Ownership({
+      team,
+      self,
+      clock,
+      guard,
+      peers,
+      records,
+    });
     this.#holder = new TeamHolder(clock, guard, () => this.#limits());
     this.#schedule = new SyncSchedule(clock);
     this.#role = new OwnerRole({
--- a/src/node/create-budgets.ts
+++ b/src/node/create-budgets.ts
@@ -34,12 +34,18 @@
   return new RenewableBudgets({
     deps,
     log: ctx.log,
-    teamsOfChoice: count =>
-      [...ctx.config.document.table.teams.keys()].filter(team =>
+    choicesOf: count => {
+      const teams = [...ctx.config.document.table.teams.keys()];
+      const placeOf = (team: string) =>
         members
           .homeOrder(budgetKey(team))
           .slice(0, count)
-          .some(({id}) => id === vm),
-      ),
+          .findIndex(({id}) => id === vm);
+      return new Map(
+        teams
+          .map(team => [team, placeOf(team)] as const)
+          .filter(([, place]) => place >= 0),
+      );
+    },
   });
 }
--- a/src/node/renewable-budgets.ts
+++ b/src/node/renewable-budgets.ts
@@ -18,9 +18,9 @@
   readonly log: Logger;
   /**
    * The teams of the table in force for which this node is among the first
-   * `count` choices.
+   * `count` choices, with its place among them, from 0.
    */
-  readonly teamsOfChoice: (count: number) => readonly string[];
+  readonly choicesOf: (count: number) => ReadonlyMap<string, number>;
 }
 
 const PREPARE_PERIOD_MS = 500;
@@ -78,10 +78,11 @@
 
   /** Takes up the budgets that this node should own, if they are vacant. */
   prepare(): Promise<void> {
-    const {teamsOfChoice} = this.#options;
     // One more, as the owner may be any of them and is no standby.
-    this.#service.standBy(teamsOfChoice(MAX_STANDBYS + 1));
-    return this.#service.prepare(teamsOfChoice(1));
+    const choices = this.#options.choicesOf(MAX_STANDBYS + 1);
+    const teams = [...choices.keys()];
+    this.#service.standBy(teams);
+    return this.#service.prepare(teams.filter(team => choices.get(team) === 0));
   }
 
   /** The table and the list of VMs change, so this is repeated. */
