--- a/src/admission/budget-record.ts
+++ b/src/admission/budget-record.ts
@@ -1,6 +1,6 @@
 /** The store's record of who owns a budget. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Store, StoredValue} from '../infra/store.js';
 
 const KEY_PREFIX = 'zinnia/budget/';
--- a/src/catalog/types.ts
+++ b/src/catalog/types.ts
@@ -69,8 +69,6 @@
   readonly isDraining: boolean;
   /** Its own view; undefined if it did not say. */
   readonly role: 'primary' | 'replica' | undefined;
-  /** How long it stays slow after its start, in milliseconds. */
-  readonly coldMs: number;
   /** Start of its process by its own clock, in Unix milliseconds. */
   readonly startedAt: number | undefined;
 }
--- a/src/cli/group-api.ts
+++ b/src/cli/group-api.ts
@@ -1,5 +1,5 @@
 /** What the group commands ask of the VMs' admin ports. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {VmRecord} from '../infra/vm-list.js';
 import {adminUrl} from './report-statements.js';
 
--- a/src/cli/platform-vms.ts
+++ b/src/cli/platform-vms.ts
@@ -1,5 +1,5 @@
 /** The platform's list of VMs, and the configuration version of each one. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Store} from '../infra/store.js';
 import {VM_LIST_KEY, type VmRecord} from '../infra/vm-list.js';
 import {CommandError} from './context.js';
--- a/src/cli/report-statements.ts
+++ b/src/cli/report-statements.ts
@@ -1,5 +1,5 @@
 /** Asks the VMs for the statements that they counted. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {VmRecord} from '../infra/vm-list.js';
 import type {VmStatements} from '../telemetry/burn-report.js';
 import {STATEMENT_KINDS} from '../telemetry/metrics.js';
--- a/src/fleet/member-list.ts
+++ b/src/fleet/member-list.ts
@@ -22,12 +22,6 @@
   readonly mayHaveLapsed: () => boolean;
 }
 
-interface Known {
-  readonly member: FleetMember;
-  /** When its key vanished; undefined while it is there. */
-  lapsedAt: number | undefined;
-}
-
 /**
  * Keeps the members by key and ranks them as homes.
  *
@@ -37,7 +31,9 @@
  */
 export class MemberList {
   readonly #options: MemberListOptions;
-  readonly #known = new Map<string, Known>();
+  readonly #known = new Map<string, FleetMember>();
+  /** When the keys of members vanished that may have lapsed. */
+  readonly #lapsedAt = new Map<string, number>();
   #orders = new Map<string, readonly FleetMember[]>();
 
   constructor(options: MemberListOptions) {
@@ -47,27 +43,27 @@
   /** Takes a member's record; undefined where its key was removed. */
   apply(id: string, member: FleetMember | undefined): void {
     this.#orders = new Map();
-    const known = this.#known.get(id);
     if (member !== undefined) {
-      this.#known.set(id, {member, lapsedAt: undefined});
-    } else if (known !== undefined) {
-      const isExcused =
-        this.#options.mayHaveLapsed() && !known.member.isLeaving;
-      if (!isExcused) this.#known.delete(id);
-      else known.lapsedAt ??= this.#options.clock.now();
+      this.#known.set(id, member);
+      this.#lapsedAt.delete(id);
+      return;
+    }
+    const isExcused =
+      this.#options.mayHaveLapsed() && this.#known.get(id)?.isLeaving === false;
+    if (!isExcused) this.#forget(id);
+    else if (!this.#lapsedAt.has(id)) {
+      this.#lapsedAt.set(id, this.#options.clock.now());
     }
   }
 
   /** Members that have not left, those in the grace of a lapse included. */
   live(): readonly FleetMember[] {
     this.#forgetLapsed();
-    return [...this.#known.values()]
-      .map(({member}) => member)
-      .filter(({isLeaving}) => !isLeaving);
+    return [...this.#known.values()].filter(({isLeaving}) => !isLeaving);
   }
 
   find(id: string): FleetMember | undefined {
-    return this.#known.get(id)?.member;
+    return this.#known.get(id);
   }
 
   /**
@@ -86,12 +82,16 @@
 
   #forgetLapsed(): void {
     const oldest = this.#options.clock.now() - LAPSE_GRACE_MS;
-    for (const [id, {lapsedAt}] of this.#known) {
-      if (lapsedAt === undefined || lapsedAt >= oldest) continue;
-      this.#known.delete(id);
-      this.#orders = new Map();
+    for (const [id, lapsedAt] of this.#lapsedAt) {
+      if (lapsedAt < oldest) this.#forget(id);
     }
   }
+
+  #forget(id: string): void {
+    this.#known.delete(id);
+    this.#lapsedAt.delete(id);
+    this.#orders = new Map();
+  }
 }
 
 /** Ranks members as homes of one name; the same on every node. */
--- a/src/fleet/member-record.ts
+++ b/src/fleet/member-record.ts
@@ -1,5 +1,5 @@
 /** What a node writes of itself into the store. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A node of the fleet. */
 export interface FleetMember {
--- a/src/fleet/store-feed.ts
+++ b/src/fleet/store-feed.ts
@@ -12,12 +12,25 @@
   type Instant,
 } from '../membership/elapsed.js';
 import type {Clock} from '../infra/clock.js';
-import {HistoryGoneError, type LeasedStore} from '../infra/leased-store.js';
+import {
+  HistoryGoneError,
+  type HandedOn,
+  type LeasedStore,
+} from '../infra/leased-store.js';
 import type {StoredValue} from '../infra/store.js';
 import type {Logger} from '../telemetry/log.js';
 
 /** Longest wait of one poll; a third of the usual bound for a change. */
 const POLL_WAIT_MS = 1_000;
+/**
+ * Shortest time between two polls. Databases renew their entries each second,
+ * so that every poll would be answered at once; a sixth of the usual bound for
+ * a change is left to the wait.
+ */
+const POLL_SPACING_MS = 500;
+/** The same at first, while nodes that started together find one another. */
+const FIRST_SPACING_MS = 100;
+const FIRST_MS = 5_000;
 /** A failed poll is repeated after this long, doubled up to the limit. */
 const RETRY_MS = 100;
 const MAX_RETRY_MS = 500;
@@ -37,7 +50,7 @@
 
 /** What a feed is built from. */
 export interface StoreFeedOptions {
-  readonly store: LeasedStore;
+  readonly store: Pick<LeasedStore, 'list' | 'changes'>;
   readonly clock: Clock;
   readonly log: Logger;
   /** The keys to follow. */
@@ -59,6 +72,7 @@
   #provenAt: Instant | undefined;
   #interruptedAt: Instant | undefined;
   #isFailing = false;
+  #firstAt = 0;
 
   constructor(options: StoreFeedOptions) {
     this.#options = options;
@@ -70,6 +84,11 @@
     return Math.max(0, elapsedSince(this.#options.clock, this.#provenAt));
   }
 
+  /** The revision up to which nothing was passed over; undefined at first. */
+  get confirmedRevision(): number | undefined {
+    return this.#covered[0];
+  }
+
   /** Milliseconds since a poll last failed; infinite if none did. */
   sinceInterruptionMs(): number {
     if (this.#interruptedAt === undefined) return Infinity;
@@ -79,13 +98,16 @@
   /** Follows the store until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const {clock} = this.#options;
+    this.#firstAt = clock.now();
     let failures = 0;
     while (!signal.aborted) {
       try {
+        const startedAt = clock.now();
         if (this.#covered.length === 0) await this.#readAll();
         else await this.#poll();
         failures = 0;
         this.#noteContact();
+        await this.#pace(startedAt, signal);
       } catch (err) {
         if (err instanceof HistoryGoneError) {
           this.#covered.length = 0;
@@ -101,27 +123,56 @@
     }
   }
 
+  /** Changes that come one by one are fetched together. */
+  async #pace(startedAt: number, signal: AbortSignal): Promise<void> {
+    if (this.#isUrgent) return;
+    const {clock} = this.#options;
+    const isNew = startedAt - this.#firstAt < FIRST_MS;
+    const spacingMs = isNew ? FIRST_SPACING_MS : POLL_SPACING_MS;
+    const restMs = startedAt + spacingMs - clock.now();
+    if (restMs > 0) await clock.sleep(restMs, signal);
+  }
+
+  /** After a failure the age of the picture is what matters. */
+  get #isUrgent(): boolean {
+    return this.#isFailing || this.#covered.length < REPEATED_ANSWERS;
+  }
+
   async #readAll(): Promise<void> {
     const {store, clock, prefix} = this.#options;
     const sentAt = takeInstant(clock);
-    const {values, asOf} = await store.list(prefix);
+    const {values, asOf, ...handedOn} = await store.list(prefix);
     this.#replaceAll(values, asOf);
     this.#covered.splice(0, this.#covered.length, asOf);
-    this.#provenAt = sentAt;
+    this.#noteProof(sentAt, handedOn);
   }
 
   async #poll(): Promise<void> {
     const {store, clock, prefix} = this.#options;
     const sentAt = takeInstant(clock);
     const after = this.#covered[0] ?? 0;
-    // After a failure the age of the picture is what matters.
-    const isUrgent = this.#isFailing || this.#covered.length < REPEATED_ANSWERS;
-    const waitMs = isUrgent ? 0 : POLL_WAIT_MS;
-    const {events, asOf} = await store.changes(prefix, after, waitMs);
+    const waitMs = this.#isUrgent ? 0 : POLL_WAIT_MS;
+    const {events, asOf, ...handedOn} = await store.changes(
+      prefix,
+      after,
+      waitMs,
+    );
     for (const event of events) this.#apply(event);
     this.#covered.push(asOf);
     if (this.#covered.length > REPEATED_ANSWERS) this.#covered.shift();
-    this.#provenAt = sentAt;
+    this.#noteProof(sentAt, handedOn);
+  }
+
+  /** An answer that was handed on proves as much as its giver knew. */
+  #noteProof(sentAt: Instant, {ageMs = 0, interruptedMsAgo}: HandedOn): void {
+    const provenAt = earlierBy(sentAt, ageMs);
+    const known = this.#provenAt;
+    if (known === undefined || provenAt.monotonicMs > known.monotonicMs) {
+      this.#provenAt = provenAt;
+    }
+    if (interruptedMsAgo === undefined) return;
+    if (interruptedMsAgo > this.sinceInterruptionMs()) return;
+    this.#interruptedAt = earlierBy(sentAt, interruptedMsAgo);
   }
 
   #replaceAll(values: readonly StoredValue[], asOf: number): void {
@@ -156,3 +207,7 @@
     });
   }
 }
+
+function earlierBy({monotonicMs, wallMs}: Instant, ms: number): Instant {
+  return {monotonicMs: monotonicMs - ms, wallMs: wallMs - ms};
+}
--- a/src/groups/primary-keeper.ts
+++ b/src/groups/primary-keeper.ts
@@ -8,6 +8,8 @@
 import type {Leadership} from './leadership.js';
 
 const CHECK_PERIOD_MS = 100;
+/** The same on nodes that leave the change to another. */
+const OBSERVER_PERIOD_MS = 1_000;
 /** How long a group may lack a known primary before one is named. */
 const NO_PRIMARY_MS = 700;
 /**
@@ -74,6 +76,7 @@
   readonly #options: PrimaryKeeperOptions;
   #leaderlessSince: number | undefined;
   #isChanging = false;
+  #checkedAt = -Infinity;
 
   constructor(options: PrimaryKeeperOptions) {
     this.#options = options;
@@ -98,7 +101,10 @@
   }
 
   async #check(): Promise<void> {
-    const {isResponsible, databases, leadership} = this.#options;
+    const {clock, isResponsible, databases, leadership} = this.#options;
+    const periodMs = isResponsible() ? 0 : OBSERVER_PERIOD_MS;
+    if (clock.now() - this.#checkedAt < periodMs) return;
+    this.#checkedAt = clock.now();
     if (databases().length === 0) return;
     if (leadership.isContested) await this.#survey(databases());
     const cause = await this.#findCause();
--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -19,6 +19,7 @@
 import {GroupMember} from './group-member.js';
 import type {HomeContext} from './home-context.js';
 import {OpenTransactions} from './open-transactions.js';
+import type {StatementAttempt} from './statement-attempt.js';
 import {PrimaryWrites} from './primary-writes.js';
 import {
   failedStatement,
@@ -32,12 +33,12 @@
 import {WriteGate} from './write-gate.js';
 
 /**
- * Share of a database's connections for the first home, and for any other. A
- * database keeps the connections of a lost node for some seconds, in which the
- * next home needs as many.
+ * Share of a database's connections for the node that does most of its work,
+ * and for any other. A database keeps the connections of a lost node for some
+ * seconds, in which the next one needs as many.
  */
-const FIRST_HOME_SHARE = 0.5;
-const OTHER_HOME_SHARE = 0.3;
+const MAIN_SHARE = 0.5;
+const OTHER_SHARE = 0.3;
 const MIN_CONNECTIONS = 2;
 /**
  * A database that vanished from the list may be back about two seconds after
@@ -65,6 +66,8 @@
   readonly orders: FailoverOrders;
   /** Whether this node is the first choice as the group's home. */
   readonly isFirstHome: () => boolean;
+  /** The node that serves the group's reads in a data centre, if any does. */
+  readonly readerIn: (dataCentre: string) => string | undefined;
   /** Whether this node is the one to name a primary where that is needed. */
   readonly isResponsible: () => boolean;
   /** Whether the list of databases may lack some without their fault. */
@@ -217,6 +220,7 @@
       team: req.team,
       consistency: req.consistency,
       reason: verdict.reason,
+      nearOnly: req.nearOnly,
       retryAfterMs:
         verdict.kind === 'notRun' ? verdict.retryAfterMs : undefined,
       message: verdict.message,
@@ -244,7 +248,7 @@
       deadlineAt: now + req.deadlineMs,
     };
     const isRead = req.kind === 'read' && req.opens === undefined;
-    const hopeless = this.#hopelessVerdict(req);
+    const hopeless = this.#hopelessVerdict(attempt);
     if (hopeless !== undefined) return failedStatement(hopeless);
     const quota = await this.#admit(req);
     if (quota.kind === 'refused') {
@@ -267,7 +271,9 @@
   }
 
   /** Refuses before a token is spent what no database can serve now. */
-  #hopelessVerdict(req: StatementRequest) {
+  #hopelessVerdict(attempt: StatementAttempt): Verdict | undefined {
+    const {req} = attempt;
+    if (req.nearOnly) return this.#reads.refuseNear(attempt);
     const needsPrimary =
       req.consistency === 'primary' ||
       (req.kind === 'write' && req.opens !== 'readOnly');
@@ -289,19 +295,29 @@
     return new GroupMember(entry, {
       clock,
       connector,
-      connectionShare: () => this.#connectionShare(),
+      connectionShare: () => this.#connectionShare(entry.id),
       weightOf: team => catalog().teams.get(team)?.rate ?? DEFAULT_WEIGHT,
       anyTeam: () => catalog().teams.keys().next().value,
     });
   }
 
-  #connectionShare(): number {
-    const {catalog, group, isFirstHome} = this.#options;
+  #connectionShare(id: string): number {
+    const {catalog, group} = this.#options;
     const all = catalog().groups.get(group)?.maxConnections ?? 0;
-    const share = isFirstHome() ? FIRST_HOME_SHARE : OTHER_HOME_SHARE;
+    const share = this.#doesMostOf(id) ? MAIN_SHARE : OTHER_SHARE;
     return Math.max(MIN_CONNECTIONS, Math.floor(all * share));
   }
 
+  /** Whether this node does most of a database's work. */
+  #doesMostOf(id: string): boolean {
+    const {isFirstHome, readerIn, self} = this.#options;
+    const place = this.#members.get(id)?.entry.dataCentre;
+    const isPrimary = this.#leadership.leaderId === id;
+    if (isPrimary || place === undefined) return isFirstHome();
+    const reader = readerIn(place);
+    return reader === undefined ? isFirstHome() : reader === self;
+  }
+
   #drop(id: string, member: GroupMember, reason: string): void {
     this.#options.log.info('databaseDropped', {
       group: this.#options.group,
--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -8,7 +8,7 @@
 import {laterPosition, type Position} from '../session/position.js';
 import type {DatabaseCommand, DatabaseReply} from '../statements/types.js';
 import {placeRead} from '../routing/read-placement.js';
-import {notRun, type Verdict} from '../verdict/verdict.js';
+import {notRun, type NotRun, type Verdict} from '../verdict/verdict.js';
 import type {BoundConnection} from './bound-connection.js';
 import type {HomeContext} from './home-context.js';
 import type {GroupMember} from './group-member.js';
@@ -33,6 +33,12 @@
  */
 const REMOTE_DISTANCE_MS = 4;
 const CERTIFICATE_TIMEOUT_MS = 300;
+/**
+ * Statements a slot at a replica nearby before reads go to the group's home,
+ * which knows the queues of the other databases: one that runs and one that
+ * waits.
+ */
+const NEAR_QUEUE = 2;
 const NO_DATABASE_RETRY_MS = 200;
 /** When to come back while open transactions hold the connections. */
 const TRANSACTION_RETRY_MS = 50;
@@ -65,6 +71,24 @@
     );
   }
 
+  /**
+   * Refuses at once a read that no database in this data centre may serve
+   * soon; the group's home, which knows the others, is asked instead.
+   */
+  refuseNear(attempt: StatementAttempt): NotRun | undefined {
+    const needed = this.#neededBy(attempt);
+    const [id] = needed ? this.#place(attempt, needed, new Set()) : [];
+    const member = this.#ctx.members.get(id ?? '');
+    const isBusy =
+      member !== undefined &&
+      member.lane.outstanding >= member.entry.slots * NEAR_QUEUE;
+    if (member !== undefined && !isBusy) return undefined;
+    const {group, dataCentre} = this.#ctx;
+    const what = isBusy ? 'has a free slot soon' : 'is fresh and answers';
+    const message = `no replica of group ${group} in ${dataCentre} ${what}`;
+    return notRun('homeUnavailable', message, 0);
+  }
+
   /** Has the primary certify its position, for reads at replicas. */
   async fetchCertificate(team: string): Promise<void> {
     const {clock, leadership, members} = this.#ctx;
@@ -294,6 +318,7 @@
       .filter(
         ({entry}) => !entry.isDraining || entry.id === leadership.leaderId,
       )
+      .filter(({entry}) => !req.nearOnly || entry.dataCentre === dataCentre)
       .map(member => ({
         id: member.id,
         isPrimary: member.id === leadership.leaderId,
--- a/src/home/home-forwarder.ts
+++ b/src/home/home-forwarder.ts
@@ -1,7 +1,12 @@
 /** The way from an entry to the home of a group, wherever that is. */
 import {PeerError, type PeerAddress, type PeerCaller} from '../peers/types.js';
 import type {Clock} from '../infra/clock.js';
-import {mayHaveRun, notRun, type Verdict} from '../verdict/verdict.js';
+import {
+  mayHaveRun,
+  notRun,
+  type NotRun,
+  type Verdict,
+} from '../verdict/verdict.js';
 import type {HomeWatch} from './home-watch.js';
 import type {HomeRequest, HomeResult} from './types.js';
 
@@ -36,6 +41,8 @@
   /** Nodes in order of preference as the group's home. */
   readonly homeOrder: (group: string) => readonly PeerAddress[];
   readonly findNode: (id: string) => PeerAddress | undefined;
+  /** A node that may serve the request before its group's home is asked. */
+  readonly readerOf?: (req: Req) => PeerAddress | undefined;
   /** The result of a request that failed with a verdict. */
   readonly failed: (verdict: Verdict) => Res;
   /** Tells which homes give no sign of life; without it all count as alive. */
@@ -70,6 +77,8 @@
     if (req.pin !== undefined) return this.#executePinned(req, sink, signal);
     const {clock, failed} = this.#options;
     const deadlineAt = clock.now() + req.deadlineMs;
+    const near = await this.#tryNear(req, sink, signal);
+    if (near !== undefined) return near;
     const homes = this.#homesOf(req.group);
     let last = failed(noHome(req.group));
     let lost: Res | undefined;
@@ -86,6 +95,22 @@
     return last.verdict.kind === 'notRun' ? (lost ?? last) : last;
   }
 
+  /** The answer of a reader nearby; undefined where the home must be asked. */
+  async #tryNear(
+    req: Req,
+    sink: Sink<Part>,
+    signal: AbortSignal,
+  ): Promise<Res | undefined> {
+    const {readerOf, watch} = this.#options;
+    const reader = readerOf?.(req);
+    if (reader === undefined || watch?.isSilent(reader.id)) return undefined;
+    const tracked = trackParts(sink);
+    const attempt = {...req, nearOnly: true};
+    const result = await this.#tryHome(reader, attempt, tracked.sink, signal);
+    const isFinal = !mayLeaveReader(req, result.verdict);
+    return isFinal || tracked.forwarded() ? result : undefined;
+  }
+
   /** The preferred homes; silent ones last, as they may be all there is. */
   #homesOf(group: string): readonly PeerAddress[] {
     const {homeOrder, watch} = this.#options;
@@ -172,6 +197,20 @@
   );
 }
 
+/** Whether the home may serve what a reader did not. */
+function mayLeaveReader(req: HomeRequest, verdict: Verdict): boolean {
+  if (verdict.kind === 'done') return false;
+  if (verdict.kind === 'mayHaveRun') return req.kind === 'read';
+  return !FINAL_AT_READER.has(verdict.reason);
+}
+
+/** Refusals that are the same at every home. */
+const FINAL_AT_READER: ReadonlySet<NotRun['reason']> = new Set([
+  'rateLimited',
+  'badRequest',
+  'cancelled',
+]);
+
 function trackParts<Part>(sink: Sink<Part>) {
   let forwarded = false;
   return {
--- a/src/home/statement-codec.ts
+++ b/src/home/statement-codec.ts
@@ -53,6 +53,7 @@
   position: WirePosition,
   values: SessionValues | 0,
   opens: number,
+  nearOnly: boolean,
 ];
 
 /** A result by position; the verdict is 0 for work that was done. */
@@ -91,6 +92,7 @@
     encodePosition(req.position),
     Object.keys(req.values).length === 0 ? 0 : req.values,
     OPENINGS.indexOf(req.opens),
+    req.nearOnly ?? false,
   ];
 }
 
@@ -116,6 +118,7 @@
     position,
     values,
     opens,
+    nearOnly,
   ] = body as unknown as WireRequest;
   if (typeof group !== 'string' || typeof text !== 'string') return undefined;
   return {
@@ -139,6 +142,7 @@
     position: decodePosition(position),
     values: values === 0 ? {} : values,
     opens: OPENINGS[opens],
+    nearOnly: nearOnly || undefined,
   };
 }
 
@@ -177,7 +181,7 @@
   };
 }
 
-const REQUEST_FIELDS = 18;
+const REQUEST_FIELDS = 19;
 
 function decodePrepared([access, shape]: readonly [
   number,
--- a/src/home/statement-homes.ts
+++ b/src/home/statement-homes.ts
@@ -22,12 +22,14 @@
 /** What the homes need of the node. */
 export interface StatementHomesOptions extends Omit<
   CertifiedHomeOptions,
-  'group' | 'isFirstHome' | 'isResponsible'
+  'group' | 'isFirstHome' | 'isResponsible' | 'readerIn'
 > {
   readonly clock: Clock;
   readonly catalog: () => Catalog;
   readonly entries: () => Iterable<DatabaseEntry>;
   readonly isFirstHome: (group: string) => boolean;
+  /** The node that serves a group's reads in a data centre, if any does. */
+  readonly readerIn: (group: string, dataCentre: string) => string | undefined;
   /** Whether this node is the first choice of those that answer it. */
   readonly isResponsible: (group: string) => boolean;
 }
@@ -93,19 +95,15 @@
     this.#homes.clear();
   }
 
-  /** Passes a database's announcement on to its group's home. */
-  applyEntry(entry: DatabaseEntry): void {
+  /** Passes on what a database announced; undefined where it is gone. */
+  applyEntry(id: string, entry: DatabaseEntry | undefined): void {
     for (const [group, home] of this.#homes) {
       // An id may have come back under another group.
-      if (group === entry.group) home.applyEntry(entry);
-      else home.removeEntry(entry.id);
+      if (group === entry?.group) home.applyEntry(entry);
+      else home.removeEntry(id);
     }
   }
 
-  removeEntry(id: string): void {
-    for (const home of this.#homes.values()) home.removeEntry(id);
-  }
-
   async execute(
     req: StatementRequest,
     _sink: Sink<never>,
@@ -125,11 +123,13 @@
   #homeOf(group: string): CertifiedHome {
     const known = this.#homes.get(group);
     if (known !== undefined) return known;
-    const {isFirstHome, isResponsible, entries, ...common} = this.#options;
+    const {isFirstHome, isResponsible, readerIn, entries, ...common} =
+      this.#options;
     const home = new CertifiedHome({
       ...common,
       group,
       isFirstHome: () => isFirstHome(group),
+      readerIn: dataCentre => readerIn(group, dataCentre),
       isResponsible: () => isResponsible(group),
     });
     this.#homes.set(group, home);
@@ -141,6 +141,12 @@
     return home;
   }
 
+  /** Whether this node is a group's home, or its reader in this data centre. */
+  #isWanted(group: string): boolean {
+    const {isFirstHome, readerIn, dataCentre, self} = this.#options;
+    return isFirstHome(group) || readerIn(group, dataCentre) === self;
+  }
+
   async #reviewRegularly(): Promise<void> {
     const {signal} = this.#stopping;
     while (!signal.aborted) {
@@ -150,12 +156,12 @@
   }
 
   #review(): void {
-    const {catalog, isFirstHome, log} = this.#options;
+    const {catalog, log} = this.#options;
     for (const group of catalog().groups.keys()) {
-      if (isFirstHome(group) && !this.#refusesNew) this.#homeOf(group);
+      if (this.#isWanted(group) && !this.#refusesNew) this.#homeOf(group);
     }
     for (const [group, home] of this.#homes) {
-      const isOurs = catalog().groups.has(group) && isFirstHome(group);
+      const isOurs = catalog().groups.has(group) && this.#isWanted(group);
       if (isOurs || home.idleMs < RETIRE_IDLE_MS) continue;
       this.#homes.delete(group);
       home.stop();
--- a/src/home/types.ts
+++ b/src/home/types.ts
@@ -20,6 +20,8 @@
   readonly commits: boolean;
   /** The transaction that it belongs to. */
   readonly pin: string | undefined;
+  /** Whether only databases in the home's own data centre may serve it. */
+  readonly nearOnly?: boolean | undefined;
 }
 
 /** What every answer of a group's home says. */
--- a/src/infra/etcd-messages.ts
+++ b/src/infra/etcd-messages.ts
@@ -1,5 +1,5 @@
 /** The messages of the etcd v3 JSON gateway, checked as they come in. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {StoredValue, WatchEvent} from './store.js';
 
 const int64Schema = z.coerce.number().int().min(0);
--- a/src/infra/etcd-store.ts
+++ b/src/infra/etcd-store.ts
@@ -1,5 +1,5 @@
 /** The store over the etcd v3 JSON gateway, with Node's own fetch. */
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {StoreRefusalError, resolveStoreError} from './etcd-errors.js';
 import {
   createStoredValue,
--- a/src/infra/leased-store.ts
+++ b/src/infra/leased-store.ts
@@ -1,8 +1,16 @@
 /** The port to a store with leases, revisions and bounded polls. */
 import type {StoredValue, SwapResult, WatchEvent} from './store.js';
 
+/** What an answer says of itself where another node handed it on. */
+export interface HandedOn {
+  /** How old it was when it was handed on, in milliseconds. */
+  readonly ageMs?: number | undefined;
+  /** How long ago that node last failed to read the store, if it did. */
+  readonly interruptedMsAgo?: number | undefined;
+}
+
 /** Changes under a prefix, and how far they reach. */
-export interface ChangeSet {
+export interface ChangeSet extends HandedOn {
   readonly events: readonly WatchEvent[];
   /** Every change up to this revision is known. */
   readonly asOf: number;
@@ -16,7 +24,7 @@
 }
 
 /** Every key under a prefix. */
-export interface Snapshot {
+export interface Snapshot extends HandedOn {
   readonly values: readonly StoredValue[];
   /** The revision at which the first page was read. */
   readonly asOf: number;
--- a/src/node/live-config.ts
+++ b/src/node/live-config.ts
@@ -1,5 +1,5 @@
 /** The configuration in force on this node, as its documents arrive. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {GROUPS_KEY, type GroupSpec} from '../groups/types.js';
 import {decodeDocument} from '../rollout/config-codec.js';
 import {CONFIG_KEY, ConfigDocument} from '../rollout/config-document.js';
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -1,5 +1,5 @@
 /** The node's settings: flags and `ZINNIA_*` variables, checked once. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {PeerAddress} from '../peers/types.js';
 import {DEFAULT_MAX_WAIT_MS} from '../routing/replica-choice.js';
 
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -1,20 +1,13 @@
 /** A node that serves a statement protocol, put together from its parts. */
 import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
-import {
-  EMPTY_CATALOG,
-  type Catalog,
-  type DatabaseEntry,
-  type Route,
-} from '../catalog/types.js';
+import type {Route} from '../catalog/types.js';
 import {MemberLease} from '../fleet/member-lease.js';
-import {addressOf, MemberList} from '../fleet/member-list.js';
-import {
-  decodeMember,
-  MEMBER_PREFIX,
-  type FleetMember,
-} from '../fleet/member-record.js';
-import {StoreFeed, type FeedChange} from '../fleet/store-feed.js';
+import {addressOf} from '../fleet/member-list.js';
+import type {FleetMember} from '../fleet/member-record.js';
+import {RELAY_METHOD} from '../fleet/feed-relay.js';
+import {RelayedStore} from '../fleet/relayed-store.js';
+import type {FeedChange} from '../fleet/store-feed.js';
 import {FailoverDuty, type FailoverOrders} from '../groups/failover-duty.js';
 import {HomeForwarder, splitPin} from '../home/home-forwarder.js';
 import {HomeWatch, PING_METHOD} from '../home/home-watch.js';
@@ -32,9 +25,6 @@
 import {PeerPool} from '../peers/peer-pool.js';
 import {PeerServer} from '../peers/peer-server.js';
 import type {PeerHandler} from '../peers/types.js';
-import {BudgetHolder} from '../quota/budget-holder.js';
-import {BudgetOwner, type BudgetRole} from '../quota/budget-owner.js';
-import type {TokenReply, TokenRequest} from '../quota/types.js';
 import {AccessGate, type Credentials} from '../sessions/access.js';
 import {
   StatementSession,
@@ -44,10 +34,10 @@
 import type {Logger} from '../telemetry/log.js';
 import {NodeMetrics, type NodeGauges} from '../telemetry/node-metrics.js';
 import type {NotRun} from '../verdict/verdict.js';
+import {NodeBudgets} from './node-budgets.js';
+import {NodePicture, type CatalogChange} from './node-picture.js';
+import {NodePlaces} from './node-places.js';
 
-const BUDGET_METHOD = 'quota.take';
-/** A call to a budget's owner is given up after this long. */
-const BUDGET_TIMEOUT_MS = 150;
 const RELEASE_TIMEOUT_MS = 1_000;
 /** Peers are silent or lost sooner than a statement gives up on them. */
 const PEER_CONNECT_TIMEOUT_MS = 400;
@@ -56,10 +46,6 @@
  * nodes: keyed work ends here soon, and a probe takes two seconds to count.
  */
 const READY_LIMIT_MS = 2_400;
-/** A store that failed a poll this recently may have let leases lapse. */
-const LAPSE_WINDOW_MS = 10_000;
-/** Nodes that start within this time of one another were restarted together. */
-const RESTART_MS = 6_000;
 /** Longest wait of a starting node for the configuration. */
 const FIRST_CATALOG_MS = 1_500;
 const FIRST_CATALOG_POLL_MS = 10;
@@ -71,16 +57,6 @@
 /** Left of the grace for closing what is open. */
 const STOP_RESERVE_MS = 500;
 
-/** What a decoded change of the store says. */
-export type CatalogChange =
-  | {readonly kind: 'catalog'; readonly catalog: Catalog}
-  | {
-      readonly kind: 'database';
-      readonly id: string;
-      /** Undefined where it is gone or can't be read. */
-      readonly entry: DatabaseEntry | undefined;
-    };
-
 /** Settings and ports of a node. */
 export interface StatementNodeOptions {
   readonly id: string;
@@ -91,6 +67,8 @@
   readonly cores: number;
   /** Age of the configuration after which keyed work is refused. */
   readonly keyLimitMs: number;
+  /** Length of the windows for which the teams' limits hold. */
+  readonly rateWindowMs: number;
   /** The shortest lease that the store grants, in milliseconds. */
   readonly minLeaseMs: number;
   /** Time from the order to stop until the process is killed. */
@@ -133,21 +111,16 @@
   readonly #options: StatementNodeOptions;
   readonly #clock = new SystemClock();
   readonly #stopping = new AbortController();
-  readonly #entries = new Map<string, DatabaseEntry>();
   readonly #peers: PeerPool;
   readonly #peerServer: PeerServer;
-  readonly #feed: StoreFeed;
-  readonly #members: MemberList;
+  readonly #picture: NodePicture;
+  readonly #places: NodePlaces;
   readonly #lease: MemberLease;
-  readonly #owner: BudgetOwner;
+  readonly #budgets: NodeBudgets;
   readonly #homes: StatementHomes;
   readonly #watch: HomeWatch;
   readonly #sessionContext: SessionContext;
-  #catalog: Catalog = EMPTY_CATALOG;
-  #leastPriority = 0;
   readonly #startedAt = this.#clock.now();
-  /** Processes of other nodes that were listed when this one started. */
-  readonly #earlier = new Map<string, string>();
   #isLeaving = false;
 
   constructor(options: StatementNodeOptions) {
@@ -161,16 +134,25 @@
       clock,
       connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
     });
-    this.#feed = new StoreFeed({
-      store,
+    this.#watch = new HomeWatch({clock, peers: this.#peers, log});
+    this.#picture = new NodePicture({
       clock,
       log,
-      prefix: '',
-      onChange: change => this.#apply(change),
+      self: id,
+      store: new RelayedStore({
+        store,
+        peers: this.#peers,
+        log,
+        watchers: () => this.#places.watchersToAsk(),
+      }),
+      decode: options.decode,
+      onDatabase: (database, entry) => this.#homes.applyEntry(database, entry),
     });
-    this.#members = new MemberList({
-      clock,
-      mayHaveLapsed: () => this.#mayHaveLapsed,
+    this.#places = new NodePlaces({
+      self: id,
+      dataCentre: options.dataCentre,
+      picture: this.#picture,
+      watch: this.#watch,
     });
     this.#lease = new MemberLease({
       store,
@@ -179,14 +161,18 @@
       self: this.#describe(),
       minTtlMs: options.minLeaseMs,
     });
-    this.#owner = new BudgetOwner({
+    this.#budgets = new NodeBudgets({
       clock,
-      roleFor: team => this.#budgetRole(team),
-      heldForMs: () => this.#creditMs(),
-      limits: team => this.#catalog.teams.get(team),
+      self: id,
+      picture: this.#picture,
+      places: this.#places,
+      lease: this.#lease,
+      watch: this.#watch,
+      peers: this.#peers,
+      windowMs: options.rateWindowMs,
+      signal: this.#stopping.signal,
     });
     this.#homes = this.#createHomes();
-    this.#watch = new HomeWatch({clock, peers: this.#peers, log});
     this.#sessionContext = this.#createSessionContext();
     this.#peerServer = new PeerServer({
       host,
@@ -196,10 +182,8 @@
       handlers: new Map<string, PeerHandler>([
         ...this.#homes.handlers,
         [PING_METHOD, async () => true],
-        [
-          BUDGET_METHOD,
-          async (body, {from}) => this.#owner.serve(from, body as TokenRequest),
-        ],
+        [RELAY_METHOD, async body => this.#picture.relay.serve(body)],
+        ...this.#budgets.handlers,
       ]),
     });
   }
@@ -207,17 +191,17 @@
   /** What the metrics read of this node, but for its callers' sessions. */
   get gauges(): Omit<NodeGauges, 'sessions'> {
     return {
-      catalogAgeMs: () => this.#feed.ageMs(),
-      catalogVersion: () => this.#catalog.version,
-      members: () => this.#members.live().length,
+      catalogAgeMs: () => this.#picture.feed.ageMs(),
+      catalogVersion: () => this.#picture.catalog.version,
+      members: () => this.#picture.members.live().length,
       homeActive: () => this.#homes.active,
     };
   }
 
   /** Whether new callers are served well here. */
   get isReady(): boolean {
-    const isFresh = this.#feed.ageMs() <= READY_LIMIT_MS;
-    return !this.#isLeaving && isFresh && this.#catalog.version > 0;
+    const isFresh = this.#picture.feed.ageMs() <= READY_LIMIT_MS;
+    return !this.#isLeaving && isFresh && this.#picture.catalog.version > 0;
   }
 
   /**
@@ -227,7 +211,7 @@
   async start(): Promise<void> {
     const {signal} = this.#stopping;
     await this.#peerServer.listen();
-    void this.#feed.run(signal);
+    void this.#picture.feed.run(signal);
     void this.#lease.run(signal);
     void this.#watch.run(signal);
     this.#homes.start();
@@ -238,7 +222,7 @@
       host,
       peerPort,
       dataCentre,
-      version: this.#catalog.version,
+      version: this.#picture.catalog.version,
       tookMs: Math.round(this.#clock.now() - this.#startedAt),
     });
   }
@@ -312,15 +296,11 @@
 
   async #firstCatalog(): Promise<void> {
     const until = this.#clock.now() + FIRST_CATALOG_MS;
-    while (this.#catalog.version === 0 && this.#clock.now() < until) {
+    while (this.#picture.catalog.version === 0 && this.#clock.now() < until) {
       await this.#clock.sleep(FIRST_CATALOG_POLL_MS);
     }
   }
 
-  get #mayHaveLapsed(): boolean {
-    return this.#feed.sinceInterruptionMs() < LAPSE_WINDOW_MS;
-  }
-
   #describe(): FleetMember {
     const {id, host, peerPort: port, dataCentre, cores} = this.#options;
     const instance = randomUUID().slice(0, 8);
@@ -337,23 +317,19 @@
       dataCentre,
       connector,
       orders,
-      catalog: () => this.#catalog,
-      entries: () => this.#entries.values(),
-      quota: new BudgetHolder({
-        clock,
-        limits: team => this.#catalog.teams.get(team),
-        ask: req => this.#askForTokens(req),
-      }),
+      catalog: () => this.#picture.catalog,
+      entries: () => this.#picture.entries,
+      quota: this.#budgets.holder,
       duty: new FailoverDuty({
         store,
         log,
         self: id,
         lease: () => this.#lease.id,
       }),
-      isFirstHome: group => this.#homeOrder(group)[0]?.id === id,
-      isResponsible: group =>
-        this.#firstAnswering(this.#homeOrder(group))?.id === id,
-      mayHaveLapsed: () => this.#mayHaveLapsed,
+      isFirstHome: group => this.#places.isFirstHome(group),
+      readerIn: (group, place) => this.#places.readerIn(group, place)?.id,
+      isResponsible: group => this.#places.isResponsible(group),
+      mayHaveLapsed: () => this.#picture.mayHaveLapsed,
     });
   }
 
@@ -363,8 +339,8 @@
       clock: this.#clock,
       log,
       access: new AccessGate({
-        catalog: () => this.#catalog,
-        ageMs: () => this.#feed.ageMs(),
+        catalog: () => this.#picture.catalog,
+        ageMs: () => this.#picture.feed.ageMs(),
         keyLimitMs,
       }),
       forwarder: new HomeForwarder<StatementRequest, StatementResult, never>({
@@ -374,9 +350,10 @@
         local: this.#homes,
         method: STATEMENT_METHODS.run,
         codec: {encode: encodeRequest, decode: decodeResult},
-        homeOrder: group => this.#homeOrder(group).map(addressOf),
+        homeOrder: group => this.#places.homeOrder(group).map(addressOf),
+        readerOf: req => this.#places.readerOf(req),
         findNode: node => {
-          const member = this.#members.find(node);
+          const member = this.#picture.members.find(node);
           return member && addressOf(member);
         },
         failed: verdict => failedStatement(verdict),
@@ -390,77 +367,13 @@
 
   /** The most urgent routes of the catalog go first, where they differ. */
   #priorityOf({priority}: Route): Priority {
-    return priority < this.#leastPriority ? 'urgent' : 'ordinary';
-  }
-
-  /** Homes lie near the primary: every write and most bytes go there. */
-  #homeOrder(group: string): readonly FleetMember[] {
-    return this.#members.homeOrder(`home ${group}`, this.#placeOf(group));
-  }
-
-  #placeOf(group: string): string | undefined {
-    for (const entry of this.#entries.values()) {
-      if (entry.group === group && entry.role === 'primary') {
-        return entry.dataCentre;
-      }
-    }
-    return undefined;
-  }
-
-  #budgetOrder(team: string): readonly FleetMember[] {
-    return this.#members.homeOrder(`budget ${team}`);
-  }
-
-  /**
-   * Time for which nobody else can have granted from a budget that is new to
-   * this node. After a restart of the whole fleet that is its own time.
-   */
-  #creditMs(): number {
-    const upMs = this.#clock.now() - this.#startedAt;
-    const isWholeFleetNew = this.#earlier.size === 0 && upMs < RESTART_MS;
-    return isWholeFleetNew ? upMs : this.#lease.heldForMs;
-  }
-
-  #budgetRole(team: string): BudgetRole {
-    if (!this.#lease.isHeld) return 'none';
-    const order = this.#budgetOrder(team);
-    const {id} = this.#options;
-    if (order[0]?.id === id) return 'owner';
-    return this.#firstAnswering(order)?.id === id ? 'standIn' : 'none';
-  }
-
-  /** The first of an order that gives signs of life to this node. */
-  #firstAnswering(order: readonly FleetMember[]): FleetMember | undefined {
-    return order.find(({id}) => !this.#watch.isSilent(id));
-  }
-
-  async #askForTokens(req: TokenRequest): Promise<TokenReply> {
-    const owner = this.#firstAnswering(this.#budgetOrder(req.team));
-    if (owner === undefined) throw new Error('no node owns budgets yet');
-    const {id} = this.#options;
-    if (owner.id === id) return this.#owner.serve(id, req);
-    const address = addressOf(owner);
-    const watched = this.#watch.begin(address, this.#stopping.signal);
-    const options = {timeoutMs: BUDGET_TIMEOUT_MS};
-    try {
-      const reply = await this.#peers.call(
-        address,
-        BUDGET_METHOD,
-        req,
-        options,
-      );
-      watched.end('answered');
-      return reply as TokenReply;
-    } catch (err) {
-      watched.end('failed');
-      throw err;
-    }
+    return priority < this.#picture.leastPriority ? 'urgent' : 'ordinary';
   }
 
   #release(group: string, pin: string): void {
     const {node, local} = splitPin(pin);
     if (node === this.#options.id) return this.#homes.release(group, local);
-    const member = this.#members.find(node);
+    const member = this.#picture.members.find(node);
     if (member === undefined) return;
     const body = {group, pin: local};
     const options = {timeoutMs: RELEASE_TIMEOUT_MS};
@@ -475,72 +388,4 @@
         }),
       );
   }
-
-  #apply(change: FeedChange): void {
-    const {key, value} = change;
-    if (key.startsWith(MEMBER_PREFIX)) return this.#applyMember(key, value);
-    const decoded = this.#options.decode(change);
-    if (decoded?.kind === 'catalog') this.#applyCatalog(decoded.catalog);
-    if (decoded?.kind === 'database') this.#applyEntry(decoded);
-  }
-
-  #applyMember(key: string, value: string | undefined): void {
-    const id = key.slice(MEMBER_PREFIX.length);
-    const member = value === undefined ? undefined : decodeMember(value);
-    this.#members.apply(id, member);
-    this.#noteEarlier(id, member);
-    this.#options.log.info('memberChanged', {
-      id,
-      state:
-        member === undefined ? 'gone' : member.isLeaving ? 'leaving' : 'live',
-      instance: member?.instance,
-    });
-  }
-
-  /** Follows whether a process from before this one may still hold tokens. */
-  #noteEarlier(id: string, member: FleetMember | undefined): void {
-    const isFirstPicture = this.#feed.ageMs() === Infinity;
-    const isOther = id !== this.#options.id;
-    if (isFirstPicture && isOther && member !== undefined) {
-      this.#earlier.set(id, member.instance);
-    } else if (member?.instance !== this.#earlier.get(id)) {
-      this.#earlier.delete(id);
-    }
-  }
-
-  #applyCatalog(catalog: Catalog): void {
-    if (catalog.version < this.#catalog.version) {
-      this.#options.log.error('catalogVersionFell', {
-        inForce: this.#catalog.version,
-        offered: catalog.version,
-      });
-      return;
-    }
-    this.#catalog = catalog;
-    const priorities = [...catalog.routes.values()].map(one => one.priority);
-    this.#leastPriority = Math.max(0, ...priorities);
-    this.#options.log.info('catalogInForce', {
-      version: catalog.version,
-      routes: catalog.routes.size,
-      teams: catalog.teams.size,
-      keys: catalog.keys.size,
-    });
-  }
-
-  #applyEntry({id, entry}: CatalogChange & {kind: 'database'}): void {
-    this.#options.log.info('databaseAnnounced', {
-      id,
-      group: entry?.group,
-      role: entry?.role,
-      state:
-        entry === undefined ? 'gone' : entry.isDraining ? 'draining' : 'ready',
-    });
-    if (entry === undefined) {
-      this.#entries.delete(id);
-      this.#homes.removeEntry(id);
-    } else {
-      this.#entries.set(id, entry);
-      this.#homes.applyEntry(entry);
-    }
-  }
 }
--- a/src/quota/budget-owner.ts
+++ b/src/quota/budget-owner.ts
@@ -1,23 +1,22 @@
 /**
- * The owner's side of the team budgets: one bucket a team, from which the
+ * The owner's side of the team budgets: one budget a team, from which the
  * holders take what they spend.
  *
  * Load pattern: one team sends many times its rate while the others stay below
- * theirs, over nodes that see uneven parts of each team. One bucket for the
+ * theirs, over nodes that see uneven parts of each team. One budget for the
  * whole fleet refuses nobody who is inside the rate, however uneven the parts.
  *
  * A node owns a budget while it holds its lease and ranks first for the team
  * among the members. A new owner knows nothing of what the old one granted, so
- * its bucket begins empty and fills at the team's rate: over every window the
- * grants of both are at most the rate times the window and one burst, but for
- * the grants that were still valid at the holders.
+ * its budget begins empty and fills at the team's bare rate for one window: what
+ * the old owner granted beyond that within a window spends part of its own.
  *
  * While the owner is silent, and until its lease ends, the next node stands in
  * at a part of the rate: the owner may still serve others.
  */
-import {TokenBucket} from '../admission/token-bucket.js';
 import type {Clock} from '../infra/clock.js';
 import type {RateLimits, TokenReply, TokenRequest} from './types.js';
+import {WindowBudget} from './window-budget.js';
 
 /** The time over which a holder's part of the grants is measured. */
 const SHARE_WINDOW_MS = 2_000;
@@ -41,10 +40,12 @@
   /** How long it has been in the position to own budgets, in milliseconds. */
   readonly heldForMs: () => number;
   readonly limits: (team: string) => RateLimits | undefined;
+  /** Length of the windows for which the limits hold, in milliseconds. */
+  readonly windowMs: number;
 }
 
 interface Owned {
-  readonly bucket: TokenBucket;
+  readonly budget: WindowBudget;
   /** Tokens granted lately by holder, halved each window. */
   readonly granted: Map<string, number>;
   halvedAt: number;
@@ -76,15 +77,13 @@
       return {kind: 'granted', tokens: 0, retryAfterMs: 1_000, share: 0};
     }
     const owned = this.#ownedOf(req.team, limits, role);
-    const {bucket} = owned;
-    const tokens = bucket.drain(
-      Math.min(req.wanted, Math.floor(bucket.tokens)),
-    );
+    const {budget} = owned;
+    const tokens = budget.drain(req.wanted);
     this.#note(owned, holder, tokens);
     return {
       kind: 'granted',
       tokens,
-      retryAfterMs: Math.max(MIN_RETRY_MS, Math.ceil(bucket.msUntil(1))),
+      retryAfterMs: Math.max(MIN_RETRY_MS, Math.ceil(budget.msUntilOne())),
       share: shareOf(owned.granted, holder),
     };
   }
@@ -97,18 +96,24 @@
   }
 
   #ownedOf(team: string, limits: RateLimits, role: BudgetRole): Owned {
-    const {clock, heldForMs} = this.#options;
+    const {clock, heldForMs, windowMs} = this.#options;
     const size = {rate: limits.rate, burst: Math.max(1, limits.burst)};
     const known = this.#owned.get(team);
     if (known !== undefined) {
-      const {rate, burst} = known.bucket.size;
-      if (rate !== size.rate || burst !== size.burst) known.bucket.resize(size);
+      const {rate, burst} = known.budget.limits;
+      if (rate !== size.rate || burst !== size.burst) known.budget.resize(size);
       return known;
     }
     const heldMs = role === 'owner' ? heldForMs() : 0;
     const earned = (size.rate * heldMs) / 1_000;
-    const bucket = new TokenBucket(clock, size, Math.min(size.burst, earned));
-    const owned = {bucket, granted: new Map(), halvedAt: clock.now()};
+    const budget = new WindowBudget({
+      clock,
+      limits: size,
+      windowMs,
+      tokens: Math.min(size.burst, earned),
+      completeFrom: clock.now() + windowMs - heldMs,
+    });
+    const owned = {budget, granted: new Map(), halvedAt: clock.now()};
     this.#owned.set(team, owned);
     return owned;
   }
--- a/src/rollout/config-codec.ts
+++ b/src/rollout/config-codec.ts
@@ -4,7 +4,7 @@
  * Rows, keys and edits are written as arrays rather than objects: 1,300 groups
  * and 2,000 teams with two keys each stay within the store's value limit.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {ConfigDocument, type ConfigState} from './config-document.js';
 import {TableError} from './faults.js';
 import {
--- a/src/rollout/row-codec.ts
+++ b/src/rollout/row-codec.ts
@@ -1,5 +1,5 @@
 /** Rows as the arrays that the configuration document keeps. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {GroupRow, RowInput, TableRow, TeamRow} from './table.js';
 
 /** Name, rate, burst, priority, staleness or null. */
--- a/src/rollout/table.ts
+++ b/src/rollout/table.ts
@@ -1,5 +1,5 @@
 /** The operators' table: one row for each team and each database group. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {TableError, type TableFault} from './faults.js';
 
 /** The longest staleness that a row may allow: one day. */
--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -1,5 +1,5 @@
 /** Structured logs: one key=value line an event. */
-import {createConsola, type LogObject} from 'consola';
+import {createConsola, type LogObject} from 'consola/core';
 
 /** A value that a log line can carry. */
 export type LogValue = string | number | boolean | undefined;
--- a/test/platform/quota.test.ts
+++ b/test/platform/quota.test.ts
@@ -20,6 +20,7 @@
         roleFor: () => roles[n]!,
         heldForMs: () => clock.now() - heldSince[n]!,
         limits: () => limits,
+        windowMs: WINDOW_MS,
       }),
   );
   const reached: (number | undefined)[] = Array.from(
@@ -89,6 +90,14 @@
     expect(fleet.admitted.length).toBeGreaterThanOrEqual(RATE * 12 * 0.95);
   });
 
+  it('grant part of the burst again in each window, and no window too much', async () => {
+    const fleet = createFleet(3);
+    await fleet.offer(RATE * 1.3, 20_000);
+    const bareRate = RATE * 20 + BURST;
+    expect(fleet.admitted.length).toBeGreaterThan(bareRate * 1.05);
+    expect(fleet.mostInWindow()).toBeLessThanOrEqual(RATE * 5 + BURST + 5);
+  });
+
   it('hold a lowered limit at once', async () => {
     const fleet = createFleet(3);
     await fleet.offer(RATE * 2, 6_000);
--- /dev/null
+++ b/test/routing/nearby-reader.test.ts
@@ -0,0 +1,90 @@
+import {describe, expect, it} from 'vitest';
+import {rankHomes} from '../../src/fleet/member-list.js';
+import type {FleetMember} from '../../src/fleet/member-record.js';
+import {
+  chooseNearbyReader,
+  type NearbyReaderInput,
+} from '../../src/routing/nearby-reader.js';
+
+const PLACES = ['hobart', 'launceston', 'devonport', 'burnie'];
+const REPLICA_PLACES = ['launceston', 'devonport'];
+/** Of ten statements as the recorded calm days have them. */
+const READS_OF_TEN = 8;
+
+const members: readonly FleetMember[] = PLACES.flatMap(dataCentre =>
+  ['a', 'b'].map(name => ({
+    id: `${dataCentre}-${name}`,
+    host: '10.0.0.1',
+    port: 7000,
+    dataCentre,
+    instance: '1',
+    cores: 1,
+    isLeaving: false,
+  })),
+);
+const [home] = rankHomes('claims', members, 'hobart');
+
+const input = (
+  rest: Partial<NearbyReaderInput<FleetMember>> = {},
+): NearbyReaderInput<FleetMember> => ({
+  isRead: true,
+  consistency: 'session',
+  dataCentre: 'launceston',
+  home,
+  readers: rankHomes('claims', members, 'launceston'),
+  hasReplica: true,
+  ...rest,
+});
+
+describe('the reader nearby', () => {
+  it('is a node of the data centre, the same one for every entry there', () => {
+    const reader = chooseNearbyReader(input());
+    expect(reader?.dataCentre).toBe('launceston');
+    expect(chooseNearbyReader(input())).toBe(reader);
+  });
+
+  it('is not asked for what only the primary may serve', () => {
+    expect(chooseNearbyReader(input({isRead: false}))).toBeUndefined();
+    expect(chooseNearbyReader(input({consistency: 'primary'}))).toBeUndefined();
+  });
+
+  it('is not asked where the home is as near, or no replica is', () => {
+    const atHome = {dataCentre: 'hobart', readers: members};
+    expect(chooseNearbyReader(input(atHome))).toBeUndefined();
+    expect(chooseNearbyReader(input({hasReplica: false}))).toBeUndefined();
+    expect(chooseNearbyReader(input({home: undefined}))).toBeUndefined();
+  });
+
+  it('is none where the data centre has no node fit for the work', () => {
+    const small = members.map(one =>
+      one.dataCentre === 'launceston' ? {...one, cores: 0.2} : one,
+    );
+    const readers = rankHomes('claims', small, 'launceston');
+    expect(chooseNearbyReader(input({readers}))).toBeUndefined();
+  });
+
+  it('halves the answers that cross between data centres', () => {
+    let crossingsBefore = 0;
+    let crossings = 0;
+    for (const [n, place] of PLACES.entries()) {
+      for (let statement = 0; statement < 1_000; statement++) {
+        const isRead = statement % 10 < READS_OF_TEN;
+        // The home spreads the reads over the group's databases in turn.
+        const spread = ['hobart', ...REPLICA_PLACES][(statement + n) % 3]!;
+        const toHome = place === 'hobart' ? 0 : 1;
+        const byHome = toHome + (isRead && spread !== 'hobart' ? 1 : 0);
+        crossingsBefore += byHome;
+        const reader = chooseNearbyReader(
+          input({
+            isRead,
+            dataCentre: place,
+            readers: rankHomes('claims', members, place),
+            hasReplica: REPLICA_PLACES.includes(place),
+          }),
+        );
+        if (reader === undefined) crossings += byHome;
+      }
+    }
+    expect(crossings).toBeLessThan(crossingsBefore / 2);
+  });
+});
--- /dev/null
+++ b/test/statements/relay.test.ts
@@ -0,0 +1,194 @@
+import {describe, expect, it} from 'vitest';
+import {FeedRelay, RELAY_METHOD} from '../../src/fleet/feed-relay.js';
+import type {FleetMember} from '../../src/fleet/member-record.js';
+import {RelayedStore} from '../../src/fleet/relayed-store.js';
+import {StoreFeed, type FeedChange} from '../../src/fleet/store-feed.js';
+import {chooseWatchers, orderWatchers} from '../../src/fleet/watchers.js';
+import {
+  HistoryGoneError,
+  type ChangeSet,
+  type LeasedStore,
+} from '../../src/infra/leased-store.js';
+import type {PeerAddress, PeerCaller} from '../../src/peers/types.js';
+import {createLogger} from '../../src/telemetry/log.js';
+import {VirtualClock} from '../fakes/virtual-clock.js';
+
+const WATCHERS: readonly PeerAddress[] = ['w1', 'w2'].map(id => ({
+  id,
+  host: '10.0.0.1',
+  port: 7000,
+}));
+const STEP_MS = 50;
+
+const member = (n: number): FleetMember => ({
+  id: `node-${n}`,
+  host: '10.0.0.1',
+  port: 7000,
+  dataCentre: `dc-${n % 5}`,
+  instance: '1',
+  cores: 1,
+  isLeaving: false,
+});
+
+/** A watcher's relay whose picture a test fills. */
+function createRelay() {
+  const clock = new VirtualClock();
+  const feed = {
+    age: 0,
+    revision: 10 as number | undefined,
+    ageMs: () => feed.age,
+    get confirmedRevision() {
+      return feed.revision;
+    },
+    sinceInterruptionMs: () => Infinity,
+  };
+  return {clock, feed, relay: new FeedRelay(clock, feed)};
+}
+
+/** A node that reads over the watchers, and a store of its own. */
+function createReader(answers: Partial<Record<string, () => unknown>>) {
+  const asked: string[] = [];
+  const peers: PeerCaller = {
+    call: async ({id}, method) => {
+      expect(method).toBe(RELAY_METHOD);
+      asked.push(id);
+      const answer = answers[id];
+      if (answer === undefined) throw new Error('out of reach');
+      return answer();
+    },
+  };
+  const store: Pick<LeasedStore, 'list' | 'changes'> = {
+    list: async () => ({values: [], asOf: 1}),
+    changes: async (): Promise<ChangeSet> => {
+      asked.push('store');
+      return {events: [], asOf: 99};
+    },
+  };
+  const log = createLogger('silent');
+  const watchers = () => WATCHERS;
+  return {asked, reader: new RelayedStore({store, peers, log, watchers})};
+}
+
+describe('the watchers of a fleet', () => {
+  it('are two in a small fleet and few in a large one', () => {
+    const fleet = (size: number) =>
+      Array.from({length: size}, (_, n) => member(n));
+    expect(chooseWatchers(fleet(7))).toHaveLength(2);
+    expect(chooseWatchers(fleet(83))).toHaveLength(3);
+    expect(chooseWatchers(fleet(1_000))).toHaveLength(22);
+  });
+
+  it('are asked nearest first, and not all nodes ask the same one', () => {
+    const fleet = Array.from({length: 1_000}, (_, n) => member(n));
+    const watchers = chooseWatchers(fleet);
+    const asks = new Map<string, number>();
+    for (const node of fleet) {
+      const [first] = orderWatchers(watchers, node);
+      const isNear = watchers.some(one => one.dataCentre === node.dataCentre);
+      if (isNear) expect(first!.dataCentre).toBe(node.dataCentre);
+      asks.set(first!.id, (asks.get(first!.id) ?? 0) + 1);
+    }
+    expect(Math.max(...asks.values())).toBeLessThan(250);
+  });
+});
+
+describe('a relay', () => {
+  const put = (key: string, revision: number): FeedChange => ({
+    key,
+    value: `${key}@${revision}`,
+    revision,
+  });
+
+  it('hands on what changed after a revision, the oldest first', () => {
+    const {relay} = createRelay();
+    for (const change of [put('b', 9), put('a', 4), put('c', 7)]) {
+      relay.note(change);
+    }
+    expect(relay.serve({after: 5})).toMatchObject({
+      changes: [
+        ['c', 'c@7', 7],
+        ['b', 'b@9', 9],
+      ],
+      asOf: 10,
+    });
+  });
+
+  it('hands removals on, and sends for everything once it has forgotten some', async () => {
+    const {clock, relay} = createRelay();
+    relay.note(put('a', 4));
+    relay.note({key: 'a', value: undefined, revision: 6});
+    expect(relay.serve({after: 4})).toMatchObject({changes: [['a', null, 6]]});
+    expect(relay.serve({})).toMatchObject({changes: []});
+    await clock.advance(61_000);
+    expect(relay.serve({after: 4})).toEqual({isGone: true});
+    expect(relay.serve({after: 6})).toMatchObject({changes: []});
+  });
+
+  it('answers nothing before its picture is complete', () => {
+    const {feed, relay} = createRelay();
+    feed.revision = undefined;
+    expect(() => relay.serve({})).toThrow(/no picture/);
+  });
+});
+
+describe('reading over watchers', () => {
+  const fresh = (ageMs: number) => () => ({
+    changes: [['k', 'v', 12]],
+    asOf: 12,
+    ageMs,
+    interruptedMsAgo: null,
+  });
+
+  it('asks one watcher and not the store', async () => {
+    const {asked, reader} = createReader({w1: fresh(200)});
+    expect(await reader.changes('', 5, 0)).toMatchObject({
+      events: [{key: 'k', value: 'v', revision: 12}],
+      asOf: 12,
+      ageMs: 200,
+    });
+    expect(asked).toEqual(['w1']);
+  });
+
+  it('goes on to the next one, and to the store, where an answer is missing or old', async () => {
+    const second = createReader({w2: fresh(100)});
+    await second.reader.changes('', 5, 0);
+    expect(second.asked).toEqual(['w1', 'w2']);
+    const old = createReader({w1: fresh(3_000), w2: fresh(2_000)});
+    expect((await old.reader.changes('', 5, 0)).asOf).toBe(99);
+    expect(old.asked).toEqual(['w1', 'w2', 'store']);
+  });
+
+  it('takes nonsense for no answer', async () => {
+    const {asked, reader} = createReader({
+      w1: () => ({changes: 'all'}),
+      w2: () => undefined,
+    });
+    await reader.changes('', 5, 0);
+    expect(asked).toEqual(['w1', 'w2', 'store']);
+  });
+
+  it('lists anew where the watcher has forgotten what is asked for', async () => {
+    const {reader} = createReader({w1: () => ({isGone: true})});
+    await expect(reader.changes('', 5, 0)).rejects.toThrow(HistoryGoneError);
+  });
+
+  it('proves a node no fresher than its watcher was', async () => {
+    const clock = new VirtualClock();
+    const {reader} = createReader({w1: fresh(900)});
+    const feed = new StoreFeed({
+      store: reader,
+      clock,
+      log: createLogger('silent'),
+      prefix: '',
+      onChange: () => {},
+    });
+    const stop = new AbortController();
+    const done = feed.run(stop.signal);
+    await clock.advance(STEP_MS);
+    expect(feed.ageMs()).toBeGreaterThanOrEqual(900);
+    expect(feed.ageMs()).toBeLessThan(900 + 2 * STEP_MS);
+    stop.abort();
+    await clock.advance(1_000);
+    await done;
+  });
+});
--- a/test/statements/statement-codec.test.ts
+++ b/test/statements/statement-codec.test.ts
@@ -33,6 +33,7 @@
   position: {term: 3, offset: 17},
   values: {colour: 'red'},
   opens: 'readWrite',
+  nearOnly: true,
 };
 
 describe('statements between peers', () => {
@@ -44,6 +45,7 @@
       position: undefined,
       values: {},
       opens: undefined,
+      nearOnly: undefined,
       statement: {
         requestId: 'r2',
         access: 'read',
