--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,5 +1,6 @@
 /** The operators' commands. */
 import type {CommandModule} from 'yargs';
+import {explainCommand} from './explain.js';
 import {groupCommand} from './group.js';
 import {keyCommand} from './key.js';
 import {reportCommand} from './report.js';
@@ -19,5 +20,6 @@
   groupCommand,
   vmCommand,
   reportCommand,
+  explainCommand,
   settingsCommand,
 ];
--- a/src/fleet/store-feed.ts
+++ b/src/fleet/store-feed.ts
@@ -39,10 +39,11 @@
 const RETRY_MS = 100;
 const MAX_RETRY_MS = 500;
 /**
- * Polls ask again for what the answer before last had covered, so that changes
- * which a muted poll passed over are delivered, or their loss is noticed.
+ * Polls ask again for what was covered this long ago, so that changes which
+ * muted polls passed over are delivered, or their loss is noticed. It leaves
+ * half of the usual bound on a withdrawn key.
  */
-const REPEATED_ANSWERS = 2;
+const REPEATED_MS = 2_000;
 
 /** One change of the picture. */
 export interface FeedChange {
@@ -72,7 +73,8 @@
 export class StoreFeed {
   readonly #options: StoreFeedOptions;
   readonly #revisions = new Map<string, number>();
-  readonly #covered: number[] = [];
+  /** Revisions that answers reached, the oldest first. */
+  readonly #covered: {readonly asOf: number; readonly at: number}[] = [];
   #provenAt: Instant | undefined;
   #interruptedAt: Instant | undefined;
   #isFailing = false;
@@ -90,7 +92,7 @@
 
   /** The revision up to which nothing was passed over; undefined at first. */
   get confirmedRevision(): number | undefined {
-    return this.#covered[0];
+    return this.#covered[0]?.asOf;
   }
 
   /** Milliseconds since a poll last failed; infinite if none did. */
@@ -139,7 +141,7 @@
 
   /** After a failure the age of the picture is what matters. */
   get #isUrgent(): boolean {
-    return this.#isFailing || this.#covered.length < REPEATED_ANSWERS;
+    return this.#isFailing || this.#covered.length < 2;
   }
 
   async #readAll(): Promise<void> {
@@ -147,14 +149,15 @@
     const sentAt = takeInstant(clock);
     const {values, asOf, ...handedOn} = await store.list(prefix);
     this.#replaceAll(values, asOf);
-    this.#covered.splice(0, this.#covered.length, asOf);
+    this.#covered.length = 0;
+    this.#noteCovered(asOf);
     this.#noteProof(sentAt, handedOn);
   }
 
   async #poll(): Promise<void> {
     const {store, clock, prefix} = this.#options;
     const sentAt = takeInstant(clock);
-    const after = this.#covered[0] ?? 0;
+    const after = this.confirmedRevision ?? 0;
     const waitMs = this.#isUrgent ? 0 : POLL_WAIT_MS;
     const {events, asOf, ...handedOn} = await store.changes(
       prefix,
@@ -162,11 +165,18 @@
       waitMs,
     );
     for (const event of events) this.#apply(event);
-    this.#covered.push(asOf);
-    if (this.#covered.length > REPEATED_ANSWERS) this.#covered.shift();
+    this.#noteCovered(asOf);
     this.#noteProof(sentAt, handedOn);
   }
 
+  #noteCovered(asOf: number): void {
+    const at = this.#options.clock.now();
+    this.#covered.push({asOf, at});
+    while ((this.#covered[1]?.at ?? at) <= at - REPEATED_MS) {
+      this.#covered.shift();
+    }
+  }
+
   /** An answer that was handed on proves as much as its giver knew. */
   #noteProof(sentAt: Instant, {ageMs = 0, interruptedMsAgo}: HandedOn): void {
     const provenAt = earlierBy(sentAt, ageMs);
--- a/src/groups/primary-keeper.ts
+++ b/src/groups/primary-keeper.ts
@@ -27,6 +27,8 @@
 const CATCH_UP_POLL_MS = 20;
 /** Time allowed for all candidates to say their state. */
 const SURVEY_MS = 400;
+/** Pause before a database that was too busy to say its state is asked again. */
+const BUSY_PAUSE_MS = 20;
 
 /** A database as the keeper sees it. */
 export interface KeptDatabase {
@@ -35,7 +37,12 @@
   readonly isDraining: boolean;
   /** Whether its work shows no sign of life. */
   readonly isSuspect: boolean;
+  /** The last position that its answers showed. */
+  readonly shown: Position | undefined;
+  /** Its state over a new connection; undefined while it is too busy. */
   askState(): Promise<DatabaseState | undefined>;
+  /** The same over any connection that is open. */
+  askStateSoon(): Promise<DatabaseState | undefined>;
 }
 
 /** What a keeper is built from. */
@@ -166,7 +173,8 @@
     );
     // The survey may have found that another database leads already.
     if (leadership.leaderId !== oldId) return;
-    const chosen = mostAdvanced(states);
+    // A database that answers work and was too busy to say its state can lead.
+    const chosen = mostAdvanced(states) ?? lastShown(candidates);
     if (chosen === undefined) {
       log.warn('noDatabaseToPromote', {group, cause, asked: others.length});
       return;
@@ -198,9 +206,9 @@
     const release = await holdWrites();
     const until = clock.now() + CATCH_UP_MS;
     try {
-      const wanted = (await old?.askState())?.received;
+      const wanted = (await old?.askStateSoon())?.received;
       while (wanted !== undefined && clock.now() < until) {
-        const has = (await chosen?.askState())?.received;
+        const has = (await chosen?.askStateSoon())?.received;
         if (has !== undefined && comparePositions(has, wanted) >= 0) break;
         await clock.sleep(CATCH_UP_POLL_MS);
       }
@@ -244,7 +252,7 @@
       const named = databases().find(({id}) => id === databaseId);
       if (named === undefined) return;
       const askedAt = clock.now();
-      const state = await named.askState().catch(() => undefined);
+      const state = await named.askStateSoon().catch(() => undefined);
       if (state !== undefined) {
         leadership.noteState(databaseId, state, askedAt);
       }
@@ -262,15 +270,38 @@
     log.warn('promotionNotSeen', {group, database: databaseId});
   }
 
+  /** Asks again while the database is too busy; undefined once it can't say. */
+  async #askUntil(
+    database: KeptDatabase,
+    until: number,
+  ): Promise<DatabaseState | undefined> {
+    const {clock, log, group} = this.#options;
+    while (clock.now() < until) {
+      try {
+        const state = await database.askStateSoon();
+        if (state !== undefined) return state;
+      } catch (err) {
+        log.info('stateNotSaid', {
+          group,
+          database: database.id,
+          message: err instanceof Error ? err.message : String(err),
+        });
+      }
+      await clock.sleep(BUSY_PAUSE_MS);
+    }
+    return undefined;
+  }
+
   /** The states of the databases that answer in time. */
   async #survey(
     databases: readonly KeptDatabase[],
   ): Promise<ReadonlyMap<string, DatabaseState>> {
     const {clock, leadership} = this.#options;
     const states = new Map<string, DatabaseState>();
-    const askedAt = clock.now();
+    const until = clock.now() + SURVEY_MS;
     const asked = databases.map(async database => {
-      const state = await database.askState().catch(() => undefined);
+      const askedAt = clock.now();
+      const state = await this.#askUntil(database, until);
       if (state === undefined) return;
       states.set(database.id, state);
       leadership.noteState(database.id, state, askedAt);
@@ -296,3 +327,15 @@
   }
   return best?.id;
 }
+
+/** Of the databases that answer their work, the one that showed the most. */
+function lastShown(databases: readonly KeptDatabase[]): string | undefined {
+  let best: {id: string; shown: Position} | undefined;
+  for (const {id, isSuspect, shown} of databases) {
+    if (isSuspect || shown === undefined) continue;
+    if (best !== undefined && comparePositions(shown, best.shown) <= 0)
+      continue;
+    best = {id, shown};
+  }
+  return best?.id;
+}
--- a/src/home/bound-connection.ts
+++ b/src/home/bound-connection.ts
@@ -7,6 +7,7 @@
   CallerStatement,
   DatabaseCommand,
   DatabaseReply,
+  DatabaseState,
   PreparedShape,
 } from '../statements/types.js';
 import {TargetError, type TransactionStatus} from '../targets/types.js';
@@ -51,6 +52,15 @@
     this.#connection.close();
   }
 
+  /**
+   * Asks the database for its state; undefined while it is too busy to say.
+   *
+   * @throws TargetError `notSent` or `lost`
+   */
+  askState(): Promise<DatabaseState | undefined> {
+    return this.#connection.askState();
+  }
+
   onClose(listener: () => void): void {
     this.#connection.onClose(listener);
   }
--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -357,7 +357,9 @@
           id: member.id,
           isDraining: member.entry.isDraining,
           isSuspect: member.health.isSuspect,
+          shown: member.shown,
           askState: () => member.askState(),
+          askStateSoon: () => member.askStateSoon(),
         }));
       },
       isResponsible,
--- a/src/home/group-member.ts
+++ b/src/home/group-member.ts
@@ -129,7 +129,7 @@
    * @throws TargetError when it can't be reached or does not answer
    */
   async askState(): Promise<DatabaseState | undefined> {
-    const {clock, connector, anyTeam} = this.#options;
+    const {connector, anyTeam} = this.#options;
     const team = anyTeam();
     if (team === undefined) {
       throw new TargetError('notSent', 'there is no team to connect for yet');
@@ -139,14 +139,40 @@
       team,
       CONNECT_TIMEOUT_MS,
     );
-    const cancel = startTimer(clock, STATE_TIMEOUT_MS, () => opened.close());
     try {
-      const state = await opened.askState();
+      return await this.#askStateOn(opened);
+    } finally {
+      opened.close();
+    }
+  }
+
+  /**
+   * The same over a connection that is open, if one is: a busy database may
+   * accept no more of them.
+   */
+  async askStateSoon(): Promise<DatabaseState | undefined> {
+    const kept = this.connections.takeAny();
+    if (kept === undefined) return this.askState();
+    try {
+      return await this.#askStateOn(kept);
+    } finally {
+      if (kept.usable) this.connections.add(kept);
+    }
+  }
+
+  async #askStateOn(
+    connection: Pick<BoundConnection, 'askState' | 'close'>,
+  ): Promise<DatabaseState | undefined> {
+    const {clock} = this.#options;
+    const cancel = startTimer(clock, STATE_TIMEOUT_MS, () =>
+      connection.close(),
+    );
+    try {
+      const state = await connection.askState();
       this.health.noteAnswer();
       return state;
     } finally {
       cancel();
-      opened.close();
     }
   }
 
--- a/src/home/team-connections.ts
+++ b/src/home/team-connections.ts
@@ -58,6 +58,12 @@
     return this.#idle.some(one => one.team === team && one.usable);
   }
 
+  /** Takes the idle connection that was used last, whichever team's it is. */
+  takeAny(): BoundConnection | undefined {
+    const at = this.#idle.findLastIndex(one => one.usable);
+    return at < 0 ? undefined : this.#idle.splice(at, 1)[0];
+  }
+
   async take({team, values}: TeamSlotRequest): Promise<BoundConnection> {
     for (;;) {
       const connection = this.#takeIdle(team, values);
--- /dev/null
+++ b/test/statements/primary-keeper.test.ts
@@ -0,0 +1,110 @@
+import {describe, expect, it} from 'vitest';
+import {Leadership} from '../../src/groups/leadership.js';
+import {
+  PrimaryKeeper,
+  type KeptDatabase,
+} from '../../src/groups/primary-keeper.js';
+import type {DatabaseState} from '../../src/statements/types.js';
+import {createLogger} from '../../src/telemetry/log.js';
+import {VirtualClock} from '../fakes/virtual-clock.js';
+
+const STEP_MS = 10;
+const BOUND_MS = 1_500;
+
+/** What a database answers when it is asked for its state. */
+type Answer = () => DatabaseState | undefined;
+
+const replicaAt = (offset: number): DatabaseState => ({
+  role: 'replica',
+  term: 1,
+  received: {term: 1, offset},
+});
+
+/** A keeper of a silent primary `a`; tells which database is named and when. */
+async function runKeeper(
+  replicas: Readonly<
+    Record<string, {readonly answer: Answer; readonly shown: number}>
+  >,
+) {
+  const clock = new VirtualClock();
+  const leadership = new Leadership();
+  leadership.noteAccepted('a', 1, 0);
+  const named: string[] = [];
+  const silent: KeptDatabase = {
+    id: 'a',
+    isDraining: false,
+    isSuspect: true,
+    shown: {term: 1, offset: 99},
+    askState: async () => {
+      throw new Error('no answer');
+    },
+    askStateSoon: async () => {
+      throw new Error('no answer');
+    },
+  };
+  const others = Object.entries(replicas).map(
+    ([id, {answer, shown}]): KeptDatabase => ({
+      id,
+      isDraining: false,
+      isSuspect: false,
+      shown: {term: 1, offset: shown},
+      askState: async () => answer(),
+      askStateSoon: async () => answer(),
+    }),
+  );
+  const keeper = new PrimaryKeeper({
+    clock,
+    log: createLogger('silent'),
+    group: 'claims',
+    self: 'node-1',
+    leadership,
+    duty: {takeToken: async () => 7, release: async () => {}},
+    orders: {
+      promote: async ({databaseId}) => {
+        named.push(databaseId);
+        return {kind: 'accepted'};
+      },
+    },
+    databases: () => [silent, ...others],
+    isResponsible: () => true,
+    holdWrites: async () => () => {},
+    onUnreachable: () => {},
+    onPromoted: () => {},
+  });
+  const stop = new AbortController();
+  void keeper.run(stop.signal);
+  const startedAt = clock.now();
+  while (named.length === 0 && clock.now() - startedAt < BOUND_MS) {
+    await clock.advance(STEP_MS);
+  }
+  stop.abort();
+  return {named, tookMs: clock.now() - startedAt};
+}
+
+describe('the keeper of a group whose primary went silent', () => {
+  it('names the most advanced replica that says its state', async () => {
+    const {named} = await runKeeper({
+      b: {answer: () => replicaAt(5), shown: 9},
+      c: {answer: () => replicaAt(8), shown: 1},
+    });
+    expect(named[0]).toBe('c');
+  });
+
+  it('asks a replica again that was too busy to say its state', async () => {
+    let asked = 0;
+    const {named, tookMs} = await runKeeper({
+      b: {answer: () => (++asked > 4 ? replicaAt(5) : undefined), shown: 1},
+    });
+    expect(named[0]).toBe('b');
+    expect(tookMs).toBeLessThan(500);
+  });
+
+  it('names one that answers its work where all are too busy to say', async () => {
+    const {named, tookMs} = await runKeeper({
+      b: {answer: () => undefined, shown: 5},
+      c: {answer: () => undefined, shown: 8},
+    });
+    expect(named[0]).toBe('c');
+    expect(tookMs).toBeLessThan(1_000);
+  });
+});
