--- a/src/index.ts
+++ b/src/index.ts
@@ -258,3 +258,43 @@
   type VmStatements,
 } from './telemetry/burn-report.js';
 export type {ServiceObjective} from './telemetry/service-level.js';
+
+/** Reads proved fresh by log positions, and where they are placed. */
+export {PositionCertificates} from './routing/certificates.js';
+export {
+  placeRead,
+  type PlacementCandidate,
+  type PlacementInput,
+} from './routing/read-placement.js';
+export {
+  chooseNearbyReader,
+  type NearbyReaderInput,
+  type ReaderCandidate,
+} from './routing/nearby-reader.js';
+
+/** Who leads a database group, from answers and announcements. */
+export {Leadership} from './groups/leadership.js';
+
+/** Team budgets by leased tokens, bounded over sliding windows. */
+export {BudgetHolder, type BudgetHolderOptions} from './quota/budget-holder.js';
+export {
+  BudgetOwner,
+  type BudgetOwnerOptions,
+  type BudgetRole,
+} from './quota/budget-owner.js';
+export {WindowBudget, type WindowBudgetOptions} from './quota/window-budget.js';
+export type {
+  QuotaDecision,
+  RateLimits,
+  TokenReply,
+  TokenRequest,
+} from './quota/types.js';
+
+/** Which nodes follow the store, and what they hand on. */
+export {chooseWatchers, orderWatchers} from './fleet/watchers.js';
+export {FeedRelay} from './fleet/feed-relay.js';
+export {StoreFeed, type FeedChange} from './fleet/store-feed.js';
+export type {FleetMember} from './fleet/member-record.js';
+
+/** Whether a database or node answers, judged from the work itself. */
+export {WorkHealth} from './membership/work-health.js';
--- /dev/null
+++ b/test/explain/chain.test.ts
@@ -0,0 +1,100 @@
+import {readFileSync} from 'node:fs';
+import {describe, expect, it} from 'vitest';
+import {explain} from '../../src/cli/explain.js';
+import {CommandError} from '../../src/cli/context.js';
+import {explainRequest} from '../../src/explain/chain.js';
+import {formatChain} from '../../src/explain/format-chain.js';
+import {parseLogLine} from '../../src/explain/log-line.js';
+
+/** Lines of three nodes on a played day whose primary went dark. */
+const LOG = new URL('./dark-primary.txt', import.meta.url);
+const REFUSED = 'bf98169c5c73c0fe';
+
+const lines = readFileSync(LOG, 'utf8')
+  .split('\n')
+  .flatMap(text => parseLogLine(text) ?? []);
+
+describe('reading a log line', () => {
+  it('gives the fields back, quoted ones too, whatever stands before them', () => {
+    const line = parseLogLine(
+      'node-1 | time=2026-04-09T15:21:53.262Z level=warn event=storeLost vm=node-1 message="said \\"no\\" twice" provenMsAgo=2937',
+    );
+    expect(line).toMatchObject({
+      at: Date.parse('2026-04-09T15:21:53.262Z'),
+      event: 'storeLost',
+      fields: {vm: 'node-1', message: 'said "no" twice', provenMsAgo: '2937'},
+    });
+  });
+
+  it('passes over what is no line of a node', () => {
+    for (const text of ['', 'time=', 'time=now event=x', 'hello time=1 b']) {
+      expect(parseLogLine(text)).toBeUndefined();
+    }
+  });
+});
+
+describe('the chain of a refused request', () => {
+  const steps = explainRequest(REFUSED, lines);
+  const events = steps.map(({line}) => line.event);
+
+  it('leads from the loss of the primary to the refusal', () => {
+    const own = steps.filter(({isOwn}) => isOwn);
+    expect(own.map(({line}) => line.event)).toEqual([
+      'statementGivenUp',
+      'statementFailed',
+    ]);
+    expect(events.indexOf('primaryChangeNeeded')).toBeLessThan(
+      events.indexOf('statementGivenUp'),
+    );
+    expect(events).toContain('promotionOrdered');
+  });
+
+  it('says how old each input was', () => {
+    const ordered = steps.find(({line}) => line.event === 'promotionOrdered');
+    expect(ordered?.ageMs).toBe(84);
+    const [inForce] = steps.filter(({line}) => line.event === 'catalogInForce');
+    expect(inForce?.line.fields.version).toBe('18');
+  });
+
+  it('leaves out what came later and what is about other requests', () => {
+    expect(steps.every(({ageMs}) => ageMs >= 0)).toBe(true);
+    const others = steps.filter(
+      ({line, isOwn}) => line.fields.request !== undefined && !isOwn,
+    );
+    expect(others).toEqual([]);
+  });
+
+  it('is written one line a step, with the request marked', () => {
+    const text = formatChain(steps);
+    expect(text.at(-1)).toMatch(
+      /^\* +-0\.000 s front-tas-devonport-1 statementFailed .*outcome=noPrimary/,
+    );
+    expect(text.filter(line => line.startsWith('*'))).toHaveLength(2);
+  });
+});
+
+describe('zinnia explain', () => {
+  const output = () => {
+    const printed: string[] = [];
+    return {
+      printed,
+      print: (line: string) => printed.push(line),
+      note: () => {},
+    };
+  };
+
+  it('prints the chain from the files', async () => {
+    const out = output();
+    await explain({request: REFUSED, logs: [LOG.pathname]}, out);
+    expect(out.printed).toEqual(formatChain(explainRequest(REFUSED, lines)));
+  });
+
+  it('says what to do where no line is about the request', async () => {
+    const args = {request: 'none', logs: [LOG.pathname]};
+    await expect(explain(args, output())).rejects.toThrow(
+      /give the logs of all nodes/,
+    );
+    const missing = {request: REFUSED, logs: ['missing.log']};
+    await expect(explain(missing, output())).rejects.toThrow(CommandError);
+  });
+});
