--- a/src/quota/budget-holder.ts
+++ b/src/quota/budget-holder.ts
@@ -10,6 +10,7 @@
 import {DemandMeter} from '../admission/demand-meter.js';
 import {TokenBucket} from '../admission/token-bucket.js';
 import type {Clock} from '../infra/clock.js';
+import {ReturnTimes} from './return-times.js';
 import type {
   QuotaDecision,
   RateLimits,
@@ -42,6 +43,7 @@
   waiting: number;
   asking: Promise<void> | undefined;
   refusedUntil: number;
+  readonly returns: ReturnTimes;
   lastContactAt: number;
   share: number;
   alone: TokenBucket | undefined;
@@ -76,22 +78,25 @@
       if (held.tokens < this.#ahead(held) / 2) void this.#ask(team, held);
       return ADMITTED;
     }
-    if (now < held.refusedUntil) {
-      return refused('overRate', Math.ceil(held.refusedUntil - now));
-    }
+    if (now < held.refusedUntil) return this.#refuse(held, limits);
     for (let asked = 0; asked < MAX_ASKS; asked++) {
       await this.#askForOne(team, held);
       if (this.#trySpend(held, limits)) return ADMITTED;
       if (this.#options.clock.now() < held.refusedUntil) break;
     }
-    const later = this.#options.clock.now();
-    if (later < held.refusedUntil) {
-      return refused('overRate', Math.ceil(held.refusedUntil - later));
+    if (this.#options.clock.now() < held.refusedUntil) {
+      return this.#refuse(held, limits);
     }
     if (this.#spendAlone(held, limits)) return ADMITTED;
     return refused('unavailable', UNAVAILABLE_RETRY_MS);
   }
 
+  #refuse(held: Held, {rate}: RateLimits): QuotaDecision {
+    const waitMs = held.refusedUntil - this.#options.clock.now();
+    const ownRate = rate * (held.share > 0 ? held.share : 1);
+    return refused('overRate', held.returns.next(waitMs, ownRate));
+  }
+
   async #askForOne(team: string, held: Held): Promise<void> {
     held.waiting += 1;
     try {
@@ -165,6 +170,7 @@
       waiting: 0,
       asking: undefined,
       refusedUntil: 0,
+      returns: new ReturnTimes(this.#options.clock),
       lastContactAt: -Infinity,
       share: 0,
       alone: undefined,
