--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -47,6 +47,8 @@
 const VANISHED_GRACE_MS = 2_500;
 /** How often a certificate is fetched where no statement brings one. */
 const CERTIFICATE_PERIOD_MS = 400;
+/** A connection whose rollback takes longer is closed, which rolls back too. */
+const ROLL_BACK_TIMEOUT_MS = 1_000;
 const DEFAULT_WEIGHT = 1;
 /** When to come back while a primary is being named, and otherwise. */
 const CHANGING_RETRY_MS = 500;
@@ -105,7 +107,8 @@
       {
         clock,
         maxIdleMs: () => catalog().idleTransactionMs,
-        rollBack: connection => connection.run([{kind: 'rollback'}], 1_000),
+        rollBack: connection =>
+          connection.run([{kind: 'rollback'}], ROLL_BACK_TIMEOUT_MS),
         onIdleEnd: ({sessionId}) =>
           log.info('idleTransactionEnded', {group, session: sessionId}),
       },
--- a/src/node/node-budgets.ts
+++ b/src/node/node-budgets.ts
@@ -7,6 +7,7 @@
 import {BudgetHolder} from '../quota/budget-holder.js';
 import {BudgetOwner, type BudgetRole} from '../quota/budget-owner.js';
 import type {TokenReply, TokenRequest} from '../quota/types.js';
+import type {Logger} from '../telemetry/log.js';
 import type {NodePicture} from './node-picture.js';
 import type {NodePlaces} from './node-places.js';
 
@@ -20,6 +21,7 @@
 /** What the budgets need of the node. */
 export interface NodeBudgetsOptions {
   readonly clock: Clock;
+  readonly log: Logger;
   readonly self: string;
   readonly picture: Pick<NodePicture, 'catalog' | 'hasEarlierProcesses'>;
   readonly places: Pick<NodePlaces, 'budgetOrder' | 'firstAnswering'>;
@@ -43,7 +45,7 @@
   readonly #startedAt: number;
 
   constructor(options: NodeBudgetsOptions) {
-    const {clock, picture, windowMs} = options;
+    const {clock, log, picture, windowMs} = options;
     this.#options = options;
     this.#startedAt = clock.now();
     const limits = (team: string) => picture.catalog.teams.get(team);
@@ -56,6 +58,7 @@
     });
     this.holder = new BudgetHolder({
       clock,
+      log,
       limits,
       ask: req => this.#ask(req),
     });
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -163,6 +163,7 @@
     });
     this.#budgets = new NodeBudgets({
       clock,
+      log,
       self: id,
       picture: this.#picture,
       places: this.#places,
--- a/src/quota/budget-holder.ts
+++ b/src/quota/budget-holder.ts
@@ -10,6 +10,7 @@
 import {DemandMeter} from '../admission/demand-meter.js';
 import {TokenBucket} from '../admission/token-bucket.js';
 import type {Clock} from '../infra/clock.js';
+import type {Logger} from '../telemetry/log.js';
 import {ReturnTimes} from './return-times.js';
 import type {
   QuotaDecision,
@@ -31,6 +32,7 @@
 /** What the holder's side is built from. */
 export interface BudgetHolderOptions {
   readonly clock: Clock;
+  readonly log: Logger;
   readonly limits: (team: string) => RateLimits | undefined;
   /** Asks the budget's owner; rejects when it is out of reach. */
   readonly ask: (req: TokenRequest) => Promise<TokenReply>;
@@ -133,7 +135,7 @@
   }
 
   async #exchange(team: string, held: Held): Promise<void> {
-    const {clock, ask} = this.#options;
+    const {clock, log, ask} = this.#options;
     const wanted = Math.ceil(
       Math.max(0, this.#ahead(held) - held.tokens) + held.waiting,
     );
@@ -141,8 +143,13 @@
     const sentAt = clock.now();
     try {
       reply = await ask({team, wanted: Math.max(1, wanted)});
-    } catch {
+    } catch (err) {
       // The caller is refused, or goes on at its share: `admit` decides.
+      log.info('budgetOwnerUnreachable', {
+        team,
+        message: err instanceof Error ? err.message : String(err),
+        contactMsAgo: Math.round(sentAt - held.lastContactAt),
+      });
       return;
     }
     if (reply.kind === 'notOwner') return;
--- a/test/library.test.ts
+++ b/test/library.test.ts
@@ -10,6 +10,7 @@
   type FleetMember,
   type PlacementCandidate,
 } from '../src/index.js';
+import {createLogger} from '../src/telemetry/log.js';
 import {VirtualClock} from './fakes/virtual-clock.js';
 
 describe('the library, as an embedding program uses it', () => {
@@ -52,6 +53,7 @@
     });
     const holder = new BudgetHolder({
       clock,
+      log: createLogger('silent'),
       limits,
       ask: async req => owner.serve('node-1', req),
     });
--- a/test/platform/quota.test.ts
+++ b/test/platform/quota.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {BudgetHolder} from '../../src/quota/budget-holder.js';
 import {BudgetOwner, type BudgetRole} from '../../src/quota/budget-owner.js';
+import {createLogger} from '../../src/telemetry/log.js';
 import {VirtualClock} from '../fakes/virtual-clock.js';
 
 const RATE = 100;
@@ -31,6 +32,7 @@
     (_, h) =>
       new BudgetHolder({
         clock,
+        log: createLogger('silent'),
         limits: () => limits,
         ask: async req => {
           const at = reached[h];
--- a/test/quota/return-times.test.ts
+++ b/test/quota/return-times.test.ts
@@ -2,6 +2,7 @@
 import {BudgetHolder} from '../../src/quota/budget-holder.js';
 import {BudgetOwner} from '../../src/quota/budget-owner.js';
 import {ReturnTimes} from '../../src/quota/return-times.js';
+import {createLogger} from '../../src/telemetry/log.js';
 import {VirtualClock} from '../fakes/virtual-clock.js';
 
 const RATE = 100;
@@ -29,6 +30,7 @@
   });
   const holder = new BudgetHolder({
     clock,
+    log: createLogger('silent'),
     limits,
     ask: async req => owner.serve('node-1', req),
   });
