--- a/src/quota/budget-holder.ts
+++ b/src/quota/budget-holder.ts
@@ -25,6 +25,12 @@
 const GRANT_VALID_MS = 500;
 /** How long a holder goes on by itself while the owner is out of reach. */
 const ALONE_MS = 5_000;
+/**
+ * Time over which a holder that goes on alone may save its part up: its work
+ * comes in peaks. It begins with one token, so all together stay within the
+ * rate from the start.
+ */
+const ALONE_SAVED_MS = 1_000;
 const UNAVAILABLE_RETRY_MS = 300;
 /** An answer under way may have been asked for before this operation came. */
 const MAX_ASKS = 2;
@@ -122,8 +128,9 @@
     if (clock.now() - held.lastContactAt > ALONE_MS) return false;
     const rate = limits.rate * held.share;
     if (rate <= 0) return false;
-    held.alone ??= new TokenBucket(clock, {rate, burst: 1}, 1);
-    if (held.alone.size.rate > rate) held.alone.resize({rate, burst: 1});
+    const size = {rate, burst: Math.max(1, (rate * ALONE_SAVED_MS) / 1_000)};
+    held.alone ??= new TokenBucket(clock, size, 1);
+    if (held.alone.size.rate > rate) held.alone.resize(size);
     return held.alone.trySpend(1);
   }
 
--- a/test/platform/quota.test.ts
+++ b/test/platform/quota.test.ts
@@ -129,6 +129,22 @@
     expect(fleet.mostInWindow()).toBeLessThanOrEqual(allowed);
   });
 
+  it('serve peaks within their part of the rate while the owner is out of reach', async () => {
+    const fleet = createFleet(2);
+    await fleet.offer(RATE * 0.6, 3_000);
+    fleet.reached.fill(undefined);
+    const before = fleet.admitted.length;
+    // The same 0.6 of the rate, in peaks of ten a holder with pauses between.
+    for (let peak = 0; peak < 6; peak++) {
+      await fleet.offer(RATE * 20, 10);
+      await fleet.clock.advance(323);
+    }
+    await fleet.clock.advance(100);
+    const admitted = fleet.admitted.length - before;
+    expect(admitted).toBeGreaterThanOrEqual(6 * 20 * 0.75);
+    expect(admitted).toBeLessThanOrEqual(RATE * 2 + 5);
+  });
+
   it('go on at their part of the rate while the owner is out of reach', async () => {
     const fleet = createFleet(2);
     await fleet.offer(RATE * 0.6, 3_000);
