--- a/src/fleet/feed-relay.ts
+++ b/src/fleet/feed-relay.ts
@@ -1,6 +1,7 @@
 /** What a watcher hands on of the store's changes. */
 import * as z from 'zod';
 import type {Clock} from '../infra/clock.js';
+import type {ChangeSet} from '../infra/leased-store.js';
 import type {FeedChange, StoreFeed} from './store-feed.js';
 
 /** The peer method by which nodes ask a watcher. */
@@ -24,9 +25,31 @@
 /** A watcher's answer. */
 export type RelayReply = z.infer<typeof replySchema>;
 
-/** Reads a watcher's answer; throws if it is none. */
-export function decodeRelayReply(body: unknown): RelayReply {
-  return replySchema.parse(body);
+/** What a relay must know of its node's own feed. */
+export type RelayedFeed = Pick<
+  StoreFeed,
+  'ageMs' | 'confirmedRevision' | 'sinceInterruptionMs'
+>;
+
+/**
+ * Reads a watcher's answer; undefined where it has forgotten what was asked
+ * for. Throws if it is no answer.
+ */
+export function decodeRelayReply(body: unknown): ChangeSet | undefined {
+  const reply = replySchema.parse(body);
+  if ('isGone' in reply) return undefined;
+  const {changes, asOf, ageMs, interruptedMsAgo} = reply;
+  const events = changes.map(([key, value, revision]) => ({
+    key,
+    value: value ?? undefined,
+    revision,
+  }));
+  return {
+    events,
+    asOf,
+    ageMs,
+    interruptedMsAgo: interruptedMsAgo ?? undefined,
+  };
 }
 
 /**
@@ -39,22 +62,13 @@
  */
 export class FeedRelay {
   readonly #clock: Clock;
-  readonly #feed: Pick<
-    StoreFeed,
-    'ageMs' | 'confirmedRevision' | 'sinceInterruptionMs'
-  >;
+  readonly #feed: RelayedFeed;
   readonly #changes = new Map<string, FeedChange>();
   readonly #removedAt = new Map<string, number>();
   /** Removals up to this revision have been forgotten. */
   #forgottenUpTo = 0;
 
-  constructor(
-    clock: Clock,
-    feed: Pick<
-      StoreFeed,
-      'ageMs' | 'confirmedRevision' | 'sinceInterruptionMs'
-    >,
-  ) {
+  constructor(clock: Clock, feed: RelayedFeed) {
     this.#clock = clock;
     this.#feed = feed;
   }
--- a/src/fleet/relayed-store.ts
+++ b/src/fleet/relayed-store.ts
@@ -7,7 +7,7 @@
 } from '../infra/leased-store.js';
 import type {PeerAddress, PeerCaller} from '../peers/types.js';
 import type {Logger} from '../telemetry/log.js';
-import {decodeRelayReply, RELAY_METHOD, type RelayReply} from './feed-relay.js';
+import {decodeRelayReply, RELAY_METHOD} from './feed-relay.js';
 
 /** A watcher answers from memory; a longer wait costs freshness. */
 const RELAY_TIMEOUT_MS = 300;
@@ -46,18 +46,13 @@
   }
 
   async list(prefix: string): Promise<Snapshot> {
-    const reply = await this.#ask(undefined);
-    if (reply === undefined) return this.#options.store.list(prefix);
-    const {asOf, ageMs, interruptedMsAgo} = reply;
-    const values = reply.changes.flatMap(([key, value, revision]) =>
-      value === null ? [] : [{key, value, revision}],
+    const changes = await this.#ask(undefined);
+    if (changes === undefined) return this.#options.store.list(prefix);
+    const {events, ...rest} = changes;
+    const values = events.flatMap(({key, value, revision}) =>
+      value === undefined ? [] : [{key, value, revision}],
     );
-    return {
-      values,
-      asOf,
-      ageMs,
-      interruptedMsAgo: interruptedMsAgo ?? undefined,
-    };
+    return {values, ...rest};
   }
 
   async changes(
@@ -65,59 +60,48 @@
     after: number,
     waitMs: number,
   ): Promise<ChangeSet> {
-    const reply = await this.#ask(after);
-    if (reply === undefined) {
-      return this.#options.store.changes(prefix, after, waitMs);
-    }
-    const {asOf, ageMs, interruptedMsAgo} = reply;
-    const events = reply.changes.map(([key, value, revision]) => ({
-      key,
-      value: value ?? undefined,
-      revision,
-    }));
-    return {
-      events,
-      asOf,
-      ageMs,
-      interruptedMsAgo: interruptedMsAgo ?? undefined,
-    };
+    const changes = await this.#ask(after);
+    return changes ?? this.#options.store.changes(prefix, after, waitMs);
   }
 
   /** The first fresh answer of a watcher; undefined if there is none. */
-  async #ask(
-    after: number | undefined,
-  ): Promise<Exclude<RelayReply, {isGone: true}> | undefined> {
+  async #ask(after: number | undefined): Promise<ChangeSet | undefined> {
     const watchers = this.#options.watchers().slice(0, MAX_WATCHERS_ASKED);
     for (const watcher of watchers) {
-      const reply = await this.#askOne(watcher, after);
-      if (reply === undefined) continue;
-      if ('isGone' in reply) throw new HistoryGoneError();
-      this.#noteSource(watcher.id, `its answer is ${reply.ageMs} ms old`);
-      return reply;
+      const changes = await this.#askOne(watcher, after);
+      if (changes === undefined) continue;
+      const ageMs = Math.round(changes.ageMs ?? 0);
+      this.#noteSource(watcher.id, `its answer is ${ageMs} ms old`);
+      return changes;
     }
     this.#noteSource('store', `${watchers.length} watchers gave no answer`);
     return undefined;
   }
 
+  /** @throws HistoryGoneError where the watcher has forgotten that much */
   async #askOne(
     watcher: PeerAddress,
     after: number | undefined,
-  ): Promise<RelayReply | undefined> {
+  ): Promise<ChangeSet | undefined> {
     const {peers, log} = this.#options;
     const options = {timeoutMs: RELAY_TIMEOUT_MS};
+    let changes: ChangeSet | undefined;
     try {
       const body = after === undefined ? {} : {after};
-      const reply = decodeRelayReply(
+      changes = decodeRelayReply(
         await peers.call(watcher, RELAY_METHOD, body, options),
       );
-      if ('isGone' in reply || reply.ageMs <= MAX_RELAYED_AGE_MS) return reply;
-      log.info('watcherStale', {watcher: watcher.id, ageMs: reply.ageMs});
     } catch (err) {
       log.info('watcherFailed', {
         watcher: watcher.id,
         message: err instanceof Error ? err.message : String(err),
       });
+      return undefined;
     }
+    if (changes === undefined) throw new HistoryGoneError();
+    const {ageMs = 0} = changes;
+    if (ageMs <= MAX_RELAYED_AGE_MS) return changes;
+    log.info('watcherStale', {watcher: watcher.id, ageMs: Math.round(ageMs)});
     return undefined;
   }
 
--- a/src/fleet/store-feed.ts
+++ b/src/fleet/store-feed.ts
@@ -7,6 +7,7 @@
  * the moment at which the last answered poll was sent.
  */
 import {
+  earlierBy,
   elapsedSince,
   takeInstant,
   type Instant,
@@ -221,7 +222,3 @@
     });
   }
 }
-
-function earlierBy({monotonicMs, wallMs}: Instant, ms: number): Instant {
-  return {monotonicMs: monotonicMs - ms, wallMs: wallMs - ms};
-}
--- a/src/fleet/watchers.ts
+++ b/src/fleet/watchers.ts
@@ -39,6 +39,9 @@
   watchers: readonly FleetMember[],
   {id, dataCentre}: Pick<FleetMember, 'id' | 'dataCentre'>,
 ): readonly FleetMember[] {
-  const isFar = (one: FleetMember) => (one.dataCentre === dataCentre ? 0 : 1);
-  return rankByRendezvous(id, watchers).toSorted((a, b) => isFar(a) - isFar(b));
+  const distance = (one: FleetMember) =>
+    one.dataCentre === dataCentre ? 0 : 1;
+  return rankByRendezvous(id, watchers).toSorted(
+    (a, b) => distance(a) - distance(b),
+  );
 }
--- a/src/groups/primary-keeper.ts
+++ b/src/groups/primary-keeper.ts
@@ -173,8 +173,12 @@
     );
     // The survey may have found that another database leads already.
     if (leadership.leaderId !== oldId) return;
+    const received = [...states].map(([id, state]): Standing => [
+      id,
+      state.received,
+    ]);
     // A database that answers work and was too busy to say its state can lead.
-    const chosen = mostAdvanced(states) ?? lastShown(candidates);
+    const chosen = mostAdvanced(received) ?? mostAdvanced(shownBy(candidates));
     if (chosen === undefined) {
       log.warn('noDatabaseToPromote', {group, cause, asked: others.length});
       return;
@@ -316,26 +320,17 @@
   }
 }
 
-function mostAdvanced(
-  states: ReadonlyMap<string, DatabaseState>,
-): string | undefined {
-  let best: {id: string; received: Position} | undefined;
-  for (const [id, {received}] of states) {
-    if (best !== undefined && comparePositions(received, best.received) <= 0)
-      continue;
-    best = {id, received};
-  }
-  return best?.id;
+/** A database and how far its log is known to reach. */
+type Standing = readonly [id: string, position: Position];
+
+function mostAdvanced(standings: readonly Standing[]): string | undefined {
+  const [best] = standings.toSorted(([, a], [, b]) => comparePositions(b, a));
+  return best?.[0];
 }
 
-/** Of the databases that answer their work, the one that showed the most. */
-function lastShown(databases: readonly KeptDatabase[]): string | undefined {
-  let best: {id: string; shown: Position} | undefined;
-  for (const {id, isSuspect, shown} of databases) {
-    if (isSuspect || shown === undefined) continue;
-    if (best !== undefined && comparePositions(shown, best.shown) <= 0)
-      continue;
-    best = {id, shown};
-  }
-  return best?.id;
+/** What the databases showed that answer their work. */
+function shownBy(databases: readonly KeptDatabase[]): readonly Standing[] {
+  return databases.flatMap(({id, isSuspect, shown}): readonly Standing[] =>
+    isSuspect || shown === undefined ? [] : [[id, shown]],
+  );
 }
--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -19,8 +19,8 @@
 import {GroupMember} from './group-member.js';
 import type {HomeContext} from './home-context.js';
 import {OpenTransactions} from './open-transactions.js';
-import type {StatementAttempt} from './statement-attempt.js';
 import {PrimaryWrites} from './primary-writes.js';
+import type {StatementAttempt} from './statement-attempt.js';
 import {
   failedStatement,
   type StatementRequest,
--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -21,6 +21,7 @@
   noPrimary,
   noteBegin,
   readTimeoutMs,
+  tooManyTransactions,
   type StatementAttempt,
 } from './statement-attempt.js';
 import {failedStatement, type StatementResult} from './statement-request.js';
@@ -40,8 +41,6 @@
  */
 const NEAR_QUEUE = 2;
 const NO_DATABASE_RETRY_MS = 200;
-/** When to come back while open transactions hold the connections. */
-const TRANSACTION_RETRY_MS = 50;
 
 /** What one try came to; `undefined` where another database may serve. */
 interface Try {
@@ -111,8 +110,13 @@
         CERTIFICATE_TIMEOUT_MS,
       );
       if (begun !== undefined) noteBegin(this.#ctx, member, begun, sentAt);
-    } catch {
+    } catch (err) {
       member.health.noteFailure();
+      this.#ctx.log.info('certificateNotFetched', {
+        group: this.#ctx.group,
+        database: member.id,
+        message: err instanceof Error ? err.message : String(err),
+      });
     } finally {
       end();
       slot.release();
@@ -366,12 +370,3 @@
   if (a?.kind !== 'notRun' || b.kind !== 'notRun') return b;
   return (a.retryAfterMs ?? Infinity) < (b.retryAfterMs ?? Infinity) ? a : b;
 }
-
-/** The refusal of a transaction for which there is no connection. */
-export function tooManyTransactions(databaseId: string): Verdict {
-  return notRun(
-    'overloaded',
-    `${databaseId} has as many open transactions as its connections allow`,
-    TRANSACTION_RETRY_MS,
-  );
-}
--- a/src/home/home-service.ts
+++ b/src/home/home-service.ts
@@ -6,7 +6,7 @@
 import type {DatabaseSpec, GroupSpec} from '../groups/types.js';
 import type {PeerHandler} from '../peers/types.js';
 import type {Clock, Random} from '../infra/clock.js';
-import {sleepToTick} from '../infra/timer.js';
+import {runAtTicks} from '../infra/timer.js';
 import type {GroupRow} from '../rollout/table.js';
 import {notRun} from '../verdict/verdict.js';
 import type {DatabaseAccess} from './group-databases.js';
@@ -86,7 +86,10 @@
 
   /** Begins to open homes where this VM is the first choice. */
   start(): void {
-    void this.#reviewRegularly();
+    const {signal} = this.#stopping;
+    void runAtTicks(this.#options.clock, REVIEW_PERIOD_MS, signal, () =>
+      this.#review(),
+    );
   }
 
   /** Takes no new work of other VMs; their open transactions go on. */
@@ -188,14 +191,6 @@
     return home;
   }
 
-  async #reviewRegularly(): Promise<void> {
-    const {signal} = this.#stopping;
-    while (!signal.aborted) {
-      this.#review();
-      await sleepToTick(this.#options.clock, REVIEW_PERIOD_MS, signal);
-    }
-  }
-
   #review(): void {
     const {groups, isFirstHome} = this.#options;
     const listed = new Set(groups().map(({name}) => name));
--- a/src/home/primary-writes.ts
+++ b/src/home/primary-writes.ts
@@ -3,7 +3,6 @@
 import {notRun, type Verdict} from '../verdict/verdict.js';
 import type {BoundConnection} from './bound-connection.js';
 import type {HomeContext} from './home-context.js';
-import {tooManyTransactions} from './certified-reads.js';
 import type {GroupMember} from './group-member.js';
 import type {Slot} from './lane.js';
 import {
@@ -13,6 +12,9 @@
   isNotRun,
   noPrimary,
   noteBegin,
+  rolledBack,
+  runStatement,
+  tooManyTransactions,
   type StatementAttempt,
 } from './statement-attempt.js';
 import {failedStatement, type StatementResult} from './statement-request.js';
@@ -90,7 +92,7 @@
     member: GroupMember,
     slot: Slot<BoundConnection>,
   ): Promise<Try> {
-    const reply = await this.#runOne(attempt, member, slot.connection);
+    const reply = await this.#run(attempt, member, slot.connection);
     slot.release();
     if (isNotRun(reply)) return this.#notRun(member, reply);
     return {result: answered(reply, {position: reply.position})};
@@ -122,7 +124,7 @@
     noteBegin(this.#ctx, member, begun, sentAt);
     let reply: DatabaseReply;
     try {
-      reply = await this.#runOne(attempt, member, connection);
+      reply = await this.#run(attempt, member, connection);
     } catch (err) {
       const verdict = connectionVerdict(err, member.id);
       if (attempt.req.commits) throw err;
@@ -159,19 +161,12 @@
     return {result: answered(reply, {transaction: 'open', pin})};
   }
 
-  async #runOne(
+  #run(
     {req, deadlineAt}: StatementAttempt,
     member: GroupMember,
     connection: BoundConnection,
   ): Promise<DatabaseReply> {
-    const leftMs = () => Math.max(1, deadlineAt - this.#ctx.clock.now());
-    const {values, statement} = req;
-    await connection.prepareFor(values, statement.prepared, leftMs());
-    const command = connection.commandFor(statement);
-    const [reply] = await connection.run([command], leftMs());
-    if (reply === undefined) throw new Error('the database gave no reply');
-    member.noteReply(reply);
-    return reply;
+    return runStatement(this.#ctx.clock, req, member, connection, deadlineAt);
   }
 
   #notRun(member: GroupMember, reply: DatabaseReply | undefined): Try {
@@ -187,13 +182,3 @@
     };
   }
 }
-
-/** The verdict of a statement that was lost before its transaction's commit. */
-export function rolledBack(verdict: Verdict): Verdict {
-  const reason = verdict.kind === 'done' ? 'it was lost' : verdict.message;
-  return notRun(
-    'targetUnavailable',
-    `the transaction was rolled back: ${reason}; begin it again`,
-    0,
-  );
-}
--- a/src/home/statement-attempt.ts
+++ b/src/home/statement-attempt.ts
@@ -1,4 +1,5 @@
 /** One statement at its home, and the parts that all ways to run it share. */
+import type {Clock} from '../infra/clock.js';
 import type {DatabaseReply} from '../statements/types.js';
 import {TargetError} from '../targets/types.js';
 import {
@@ -18,6 +19,8 @@
 const MIN_READ_TIMEOUT_MS = 300;
 /** The same as a multiple of the database's average time of a statement. */
 const READ_TIMEOUT_COSTS = 8;
+/** When to come back while open transactions hold the connections. */
+const TRANSACTION_RETRY_MS = 50;
 
 /** A statement and its times, on the node's monotonic clock. */
 export interface StatementAttempt {
@@ -58,6 +61,27 @@
   return Math.max(1, Math.min(patience, deadlineAt - ctx.clock.now()));
 }
 
+/**
+ * Runs a statement on a connection, which is set up for it first.
+ *
+ * @throws TargetError `notSent` or `lost`
+ */
+export async function runStatement(
+  clock: Clock,
+  {values, statement}: StatementRequest,
+  member: GroupMember,
+  connection: BoundConnection,
+  deadlineAt: number,
+): Promise<DatabaseReply> {
+  const leftMs = () => Math.max(1, deadlineAt - clock.now());
+  await connection.prepareFor(values, statement.prepared, leftMs());
+  const command = connection.commandFor(statement);
+  const [reply] = await connection.run([command], leftMs());
+  if (reply === undefined) throw new Error('the database gave no reply');
+  member.noteReply(reply);
+  return reply;
+}
+
 /** The result of a statement that its database answered. */
 export function answered(
   reply: DatabaseReply,
@@ -112,6 +136,25 @@
   return notRun('noPrimary', message, primaryRetryMs());
 }
 
+/** The refusal of a transaction for which there is no connection. */
+export function tooManyTransactions(databaseId: string): Verdict {
+  return notRun(
+    'overloaded',
+    `${databaseId} has as many open transactions as its connections allow`,
+    TRANSACTION_RETRY_MS,
+  );
+}
+
+/** The verdict of a statement that was lost before its transaction's commit. */
+export function rolledBack(verdict: Verdict): Verdict {
+  const reason = verdict.kind === 'done' ? 'it was lost' : verdict.message;
+  return notRun(
+    'targetUnavailable',
+    `the transaction was rolled back: ${reason}; begin it again`,
+    0,
+  );
+}
+
 /** Whether a database refused a statement without running it. */
 export function isNotRun(reply: DatabaseReply): boolean {
   if (reply.kind === 'done') return false;
--- a/src/home/statement-homes.ts
+++ b/src/home/statement-homes.ts
@@ -1,7 +1,7 @@
 /** The certified homes of the groups whose home is, or was, on this node. */
 import type {Catalog, DatabaseEntry} from '../catalog/types.js';
 import type {Clock} from '../infra/clock.js';
-import {sleepToTick} from '../infra/timer.js';
+import {runAtTicks} from '../infra/timer.js';
 import type {PeerHandler} from '../peers/types.js';
 import {notRun} from '../verdict/verdict.js';
 import {CertifiedHome, type CertifiedHomeOptions} from './certified-home.js';
@@ -81,7 +81,10 @@
 
   /** Begins to open homes where this node is the first choice. */
   start(): void {
-    void this.#reviewRegularly();
+    const {signal} = this.#stopping;
+    void runAtTicks(this.#options.clock, REVIEW_PERIOD_MS, signal, () =>
+      this.#review(),
+    );
   }
 
   /** Takes no new work; open transactions go on. */
@@ -147,14 +150,6 @@
     return isFirstHome(group) || readerIn(group, dataCentre) === self;
   }
 
-  async #reviewRegularly(): Promise<void> {
-    const {signal} = this.#stopping;
-    while (!signal.aborted) {
-      this.#review();
-      await sleepToTick(this.#options.clock, REVIEW_PERIOD_MS, signal);
-    }
-  }
-
   #review(): void {
     const {catalog, log} = this.#options;
     for (const group of catalog().groups.keys()) {
--- a/src/home/transaction-statements.ts
+++ b/src/home/transaction-statements.ts
@@ -5,8 +5,12 @@
 import type {HomeContext} from './home-context.js';
 import type {GroupMember} from './group-member.js';
 import type {PinnedTransaction} from './open-transactions.js';
-import {rolledBack} from './primary-writes.js';
-import {answered, connectionVerdict} from './statement-attempt.js';
+import {
+  answered,
+  connectionVerdict,
+  rolledBack,
+  runStatement,
+} from './statement-attempt.js';
 import {
   failedStatement,
   type StatementRequest,
@@ -70,19 +74,21 @@
   }
 
   async #runOn(
-    {values, statement}: StatementRequest,
+    req: StatementRequest,
     member: GroupMember,
     connection: BoundConnection,
     deadlineAt: number,
   ): Promise<DatabaseReply> {
     const {clock} = this.#ctx;
     const leftMs = () => Math.max(1, deadlineAt - clock.now());
-    await connection.prepareFor(values, statement.prepared, leftMs());
-    const command = connection.commandFor(statement);
     for (let tries = 1; ; tries++) {
-      const [reply] = await connection.run([command], leftMs());
-      if (reply === undefined) throw new Error('the database gave no reply');
-      member.noteReply(reply);
+      const reply = await runStatement(
+        clock,
+        req,
+        member,
+        connection,
+        deadlineAt,
+      );
       const isBusy = reply.kind === 'error' && reply.code === 'busy';
       const mayRepeat = reply.transaction === 'open' && tries < BUSY_TRIES;
       if (!isBusy || !mayRepeat || leftMs() <= BUSY_PAUSE_MS) return reply;
--- a/src/infra/timer.ts
+++ b/src/infra/timer.ts
@@ -27,6 +27,19 @@
   return () => cancelled.abort(CANCELLED);
 }
 
+/** Runs a task at once and at each tick of a period, until `signal` aborts. */
+export async function runAtTicks(
+  clock: Clock,
+  periodMs: number,
+  signal: AbortSignal,
+  task: () => void,
+): Promise<void> {
+  while (!signal.aborted) {
+    task();
+    await sleepToTick(clock, periodMs, signal);
+  }
+}
+
 /** How early a timer may fire by the reading of the clock. */
 const TIMER_ERROR_MS = 2;
 
--- a/src/membership/elapsed.ts
+++ b/src/membership/elapsed.ts
@@ -10,7 +10,13 @@
 
 /** The present moment, or that of `ageMs` ago. */
 export function takeInstant(clock: Clock, ageMs = 0): Instant {
-  return {monotonicMs: clock.now() - ageMs, wallMs: clock.wallNow() - ageMs};
+  const now = {monotonicMs: clock.now(), wallMs: clock.wallNow()};
+  return earlierBy(now, ageMs);
+}
+
+/** The moment that was `ms` before another one. */
+export function earlierBy({monotonicMs, wallMs}: Instant, ms: number): Instant {
+  return {monotonicMs: monotonicMs - ms, wallMs: wallMs - ms};
 }
 
 /**
