--- a/src/explain/timeline.ts
+++ b/src/explain/timeline.ts
@@ -15,12 +15,14 @@
   'dutyNotTaken',
   'homeClosed',
   'homeOpened',
+  'leaderChanged',
   'noDatabaseToPromote',
   'primaryChangeNeeded',
   'primaryInForce',
   'promotionNotSeen',
   'promotionOrdered',
   'promotionSeen',
+  'responsibilityChanged',
 ]);
 /** Events about a node; relevant to requests that it handled. */
 const NODE_EVENTS: ReadonlySet<string> = new Set([
--- a/src/groups/failover-coordinator.ts
+++ b/src/groups/failover-coordinator.ts
@@ -4,7 +4,11 @@
 import {comparePositions, type Position} from '../session/position.js';
 import type {DatabaseState} from '../statements/types.js';
 import type {Logger} from '../telemetry/log.js';
-import type {FailoverLease, FailoverOrders} from './failover-lease.js';
+import type {
+  FailoverLease,
+  FailoverOrders,
+  OrderOutcome,
+} from './failover-lease.js';
 import type {Leadership} from './leadership.js';
 
 const CHECK_PERIOD_MS = 100;
@@ -49,6 +53,22 @@
   queryStateOnOpenConnection(): Promise<DatabaseState | undefined>;
 }
 
+/** Which node should replace a group's primary, and what that follows from. */
+export interface Responsibility {
+  /** Undefined if no member answers. */
+  readonly node: string | undefined;
+  readonly isSelf: boolean;
+  /** The group's first home, which may be silent. */
+  readonly firstHome: string | undefined;
+  readonly primaryDataCentre: string | undefined;
+  /** Number of members that can be the home. */
+  readonly members: number;
+}
+
+/** How an attempt to replace a primary ended. */
+export type FailoverAttemptOutcome =
+  OrderOutcome['kind'] | 'leaseNotHeld' | 'noCandidate';
+
 /** Options of {@link FailoverCoordinator}. */
 export interface FailoverCoordinatorOptions {
   readonly clock: Clock;
@@ -61,14 +81,14 @@
   readonly orders: FailoverOrders;
   /** The databases that the platform announces now. */
   readonly databases: () => readonly TrackedDatabase[];
-  /** Whether this node is the one that promotes databases of the group. */
-  readonly isResponsible: () => boolean;
+  readonly responsibility: () => Responsibility;
   /** Holds writes until the returned function is called. */
   readonly holdWrites: () => Promise<() => void>;
   /** Called when the primary has failed its probes. */
   readonly onUnreachable: (id: string) => void;
   /** Called when a promoted database has reported that it leads. */
   readonly onPromoted: (id: string) => void;
+  readonly recordAttempt: (outcome: FailoverAttemptOutcome) => void;
 }
 
 /** Why the primary is replaced. */
@@ -90,6 +110,7 @@
   #leaderlessSince: number | undefined;
   #isReplacingPrimary = false;
   #checkedAt = -Infinity;
+  #responsibleNode: string | undefined;
 
   constructor(options: FailoverCoordinatorOptions) {
     this.#options = options;
@@ -114,14 +135,14 @@
   }
 
   async #check(): Promise<void> {
-    const {clock, isResponsible, databases, leadership} = this.#options;
-    const periodMs = isResponsible() ? 0 : OBSERVER_PERIOD_MS;
+    const {clock, databases, leadership} = this.#options;
+    const periodMs = this.#isResponsible() ? 0 : OBSERVER_PERIOD_MS;
     if (clock.now() - this.#checkedAt < periodMs) return;
     this.#checkedAt = clock.now();
     if (databases().length === 0) return;
     if (leadership.isContested) await this.#queryStates(databases());
     const cause = await this.#findCause();
-    if (cause === undefined || !isResponsible()) return;
+    if (cause === undefined || !this.#isResponsible()) return;
     this.#isReplacingPrimary = true;
     try {
       await this.#replacePrimary(cause);
@@ -130,6 +151,22 @@
     }
   }
 
+  /** Whether this node replaces the primary; logs when another node should. */
+  #isResponsible(): boolean {
+    const {log, group, responsibility} = this.#options;
+    const {node, ...basis} = responsibility();
+    if (node !== this.#responsibleNode) {
+      log.info('responsibilityChanged', {
+        group,
+        from: this.#responsibleNode,
+        to: node,
+        ...basis,
+      });
+      this.#responsibleNode = node;
+    }
+    return basis.isSelf;
+  }
+
   async #findCause(): Promise<ChangeCause | undefined> {
     const {clock, databases, leadership} = this.#options;
     const leaderId = leadership.leaderId;
@@ -190,6 +227,7 @@
       mostAdvanced(received) ?? mostAdvanced(visibleLogEnds(candidates));
     if (chosen === undefined) {
       log.warn('noDatabaseToPromote', {group, cause, asked: others.length});
+      this.#options.recordAttempt('noCandidate');
       return;
     }
     log.info('primaryChangeNeeded', {
@@ -244,9 +282,10 @@
   }
 
   async #promote(databaseId: string): Promise<void> {
-    const {failoverLease, orders, group, self, log} = this.#options;
+    const {failoverLease, orders, group, self, log, recordAttempt} =
+      this.#options;
     const token = await failoverLease.acquireToken(group);
-    if (token === undefined) return;
+    if (token === undefined) return recordAttempt('leaseNotHeld');
     const outcome = await orders.promote({
       group,
       databaseId,
@@ -260,6 +299,7 @@
       outcome: outcome.kind,
       detail: outcome.kind === 'unknown' ? outcome.message : undefined,
     });
+    recordAttempt(outcome.kind);
     if (outcome.kind === 'refused') return;
     await this.#awaitLeader(databaseId);
   }
--- a/src/groups/leadership.ts
+++ b/src/groups/leadership.ts
@@ -16,6 +16,15 @@
   readonly provenAt: number;
 }
 
+/** The database that leads, and what shows it. */
+export interface LeaderBasis {
+  readonly id: string;
+  /** The highest term it is known to lead; 0 if it was only announced. */
+  readonly term: number;
+  /** Time of the last proof; -Infinity if it was only announced. */
+  readonly provenAt: number;
+}
+
 /**
  * Decides which database leads: the claim with the highest term, and among
  * equal terms the one with the latest proof. Terms alone are not enough: a new
@@ -32,8 +41,14 @@
 export class Leadership {
   readonly #claims = new Map<string, LeadershipClaim>();
   readonly #announced = new Map<string, string>();
+  readonly #onChange: (leader: LeaderBasis | undefined) => void;
   #leaderId: string | undefined;
 
+  /** `onChange` is called whenever another database or none leads. */
+  constructor(onChange: (leader: LeaderBasis | undefined) => void = () => {}) {
+    this.#onChange = onChange;
+  }
+
   /**
    * The leading database; undefined if none claims to lead or claims are tied.
    */
@@ -127,7 +142,10 @@
       first !== undefined &&
       second !== undefined &&
       compareClaims(first[1], second[1]) === 0;
-    this.#leaderId = isTied ? undefined : first?.[0];
+    const leader = isTied ? undefined : first;
+    if (leader?.[0] === this.#leaderId) return;
+    this.#leaderId = leader?.[0];
+    this.#onChange(leader && {id: leader[0], ...basisOf(leader[1])});
   }
 }
 
@@ -138,6 +156,10 @@
   provenAt: NEVER,
 };
 
+function basisOf({term, provenAt}: LeadershipClaim) {
+  return {term, provenAt};
+}
+
 /** Sort comparator: the stronger claim first. */
 function compareClaims(a: LeadershipClaim, b: LeadershipClaim): number {
   if (a.term !== b.term) return b.term - a.term;
--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -10,8 +10,12 @@
   type AnnouncedDatabase,
 } from '../catalog/types.js';
 import type {FailoverLease, FailoverOrders} from '../groups/failover-lease.js';
-import {Leadership} from '../groups/leadership.js';
-import {FailoverCoordinator} from '../groups/failover-coordinator.js';
+import type {DrainNotice} from '../groups/drain-notice.js';
+import {Leadership, type LeaderBasis} from '../groups/leadership.js';
+import {
+  FailoverCoordinator,
+  type Responsibility,
+} from '../groups/failover-coordinator.js';
 import type {Clock} from '../infra/clock.js';
 import {sleepToTick} from '../infra/timer.js';
 import type {BudgetHolder} from '../quota/budget-holder.js';
@@ -24,6 +28,7 @@
 import {CertifiedReads} from './certified-reads.js';
 import {GroupMember} from './group-member.js';
 import type {HomeContext} from './home-context.js';
+import type {HomeMetrics} from './home-metrics.js';
 import {OpenTransactions} from './open-transactions.js';
 import {PrimaryWrites} from './primary-writes.js';
 import type {StatementAttempt} from './statement-attempt.js';
@@ -77,8 +82,11 @@
   readonly isFirstHome: () => boolean;
   /** Returns the node that serves the group's reads in a data centre. */
   readonly readerIn: (dataCentre: string) => string | undefined;
-  /** Returns whether this node is the one to promote a new primary. */
-  readonly isResponsible: () => boolean;
+  /** Returns which node should replace the group's primary. */
+  readonly responsibility: () => Responsibility;
+  readonly metrics: HomeMetrics;
+  /** Returns when this node learnt that a database drains, if it does. */
+  readonly drainNoticeOf: (id: string) => DrainNotice | undefined;
   /** Returns whether announcements may have expired in a store outage. */
   readonly mayHaveLapsed: () => boolean;
 }
@@ -96,7 +104,7 @@
   readonly #options: CertifiedHomeOptions;
   readonly #members = new Map<string, GroupMember>();
   readonly #missingSince = new Map<string, number>();
-  readonly #leadership = new Leadership();
+  readonly #leadership = new Leadership(leader => this.#logLeader(leader));
   readonly #certificates = new PositionCertificates();
   readonly #transactions: OpenTransactions<TeamConnection, OpenTransaction>;
   readonly #gate: WriteGate;
@@ -136,6 +144,8 @@
       transactions: this.#transactions,
       gate: this.#gate,
       primaryRetryMs: () => this.#primaryRetryMs,
+      metrics: options.metrics,
+      drainNoticeOf: options.drainNoticeOf,
     };
     this.#reads = new CertifiedReads(ctx);
     this.#writes = new PrimaryWrites(ctx);
@@ -220,6 +230,21 @@
     }
   }
 
+  #logLeader(leader: LeaderBasis | undefined): void {
+    const {clock, log, group} = this.#options;
+    const isProven = leader !== undefined && leader.provenAt > -Infinity;
+    log.info('leaderChanged', {
+      group,
+      database: leader?.id,
+      basis: leader && (isProven ? 'proof' : 'announcement'),
+      term: leader?.term,
+      provenMsAgo: isProven
+        ? Math.round(clock.now() - leader.provenAt)
+        : undefined,
+      isDraining: leader && this.#members.get(leader.id)?.entry.isDraining,
+    });
+  }
+
   /** Logs a failed statement with the state of the home. */
   #logFailure(
     req: StatementRequest,
@@ -357,7 +382,7 @@
   }
 
   #createKeeper(): FailoverCoordinator {
-    const {clock, log, group, self, failoverLease, orders, isResponsible} =
+    const {clock, log, group, self, failoverLease, orders, responsibility} =
       this.#options;
     return new FailoverCoordinator({
       clock,
@@ -378,7 +403,9 @@
           queryStateOnOpenConnection: () => member.queryState(),
         }));
       },
-      isResponsible,
+      responsibility,
+      recordAttempt: outcome =>
+        this.#options.metrics.recordFailoverAttempt(group, outcome),
       holdWrites: async () => {
         await this.#gate.holdWrites();
         return () => this.#gate.releaseWrites();
--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -144,7 +144,12 @@
       avoid.add(member.id);
       const isFirst = tries === 0 && attempt.latencyGoalAt > clock.now();
       const queueUntil = isFirst ? attempt.latencyGoalAt : attempt.deadlineAt;
-      const acquired = await acquireSlot(attempt, member, queueUntil);
+      const acquired = await acquireSlot(
+        this.#ctx,
+        attempt,
+        member,
+        queueUntil,
+      );
       if (acquired.kind === 'refused') {
         last = soonerRetry(last, acquired.verdict);
         continue;
--- a/src/home/home-context.ts
+++ b/src/home/home-context.ts
@@ -1,9 +1,11 @@
 /** The state that the components of a certified home share. */
+import type {DrainNotice} from '../groups/drain-notice.js';
 import type {Leadership} from '../groups/leadership.js';
 import type {Clock} from '../infra/clock.js';
 import type {PositionCertificates} from '../routing/certificates.js';
 import type {Logger} from '../telemetry/log.js';
 import type {TeamConnection} from './team-connection.js';
+import type {HomeMetrics} from './home-metrics.js';
 import type {GroupMember} from './group-member.js';
 import type {OpenTransactions} from './open-transactions.js';
 import type {OpenTransaction} from './transaction-statements.js';
@@ -22,4 +24,7 @@
   readonly gate: WriteGate;
   /** Returns the retry delay while there is no primary, in milliseconds. */
   readonly primaryRetryMs: () => number;
+  readonly metrics: HomeMetrics;
+  /** Returns when this node learnt that a database drains, if it does. */
+  readonly drainNoticeOf: (id: string) => DrainNotice | undefined;
 }
--- /dev/null
+++ b/src/home/home-metrics.ts
@@ -0,0 +1,13 @@
+/** Port to the metrics that a home records. */
+import type {FailoverAttemptOutcome} from '../groups/failover-coordinator.js';
+
+/** Counts what a home decides about a group. */
+export interface HomeMetrics {
+  /** Counts an attempt to replace a group's primary. */
+  recordFailoverAttempt(group: string, outcome: FailoverAttemptOutcome): void;
+  /**
+   * Records that a statement was sent to a draining database, `ageMs` after
+   * this node learnt that it drains.
+   */
+  recordDrainingStatement(group: string, ageMs: number): void;
+}
--- a/src/home/primary-writes.ts
+++ b/src/home/primary-writes.ts
@@ -65,7 +65,7 @@
     }
     const isLate = attempt.latencyGoalAt <= clock.now();
     const queueUntil = isLate ? attempt.deadlineAt : attempt.latencyGoalAt;
-    const acquired = await acquireSlot(attempt, member, queueUntil);
+    const acquired = await acquireSlot(this.#ctx, attempt, member, queueUntil);
     if (acquired.kind === 'refused') {
       return {result: failedStatement(acquired.verdict)};
     }
--- a/src/home/statement-attempt.ts
+++ b/src/home/statement-attempt.ts
@@ -34,18 +34,44 @@
 }
 
 /** Requests a slot; queues until `queueUntil` or the deadline at most. */
-export function acquireSlot(
-  {req, signal, deadlineAt}: StatementAttempt,
+export async function acquireSlot(
+  ctx: HomeContext,
+  attempt: StatementAttempt,
   member: GroupMember,
   queueUntil: number,
 ): Promise<SlotResult<TeamConnection>> {
-  return member.pool.acquire({
+  const {req, signal, deadlineAt} = attempt;
+  const result = await member.pool.acquire({
     team: req.team,
     priority: req.priority,
     deadlineAt: Math.min(queueUntil, deadlineAt),
     cancelled: signal,
     values: req.values,
   });
+  if (result.kind === 'granted') recordIfDraining(ctx, req, member);
+  return result;
+}
+
+/** Records a statement that is about to be sent to a draining database. */
+function recordIfDraining(
+  {clock, log, group, leadership, metrics, drainNoticeOf}: HomeContext,
+  {statement, kind, opens, consistency}: StatementRequest,
+  {id}: GroupMember,
+): void {
+  const notice = drainNoticeOf(id);
+  if (notice === undefined) return;
+  const learntMsAgo = clock.now() - notice.learntAt;
+  metrics.recordDrainingStatement(group, learntMsAgo);
+  log.info('statementToDraining', {
+    request: statement.requestId,
+    group,
+    database: id,
+    isLeader: leadership.leaderId === id,
+    kind,
+    opens,
+    consistency,
+    learntMsAgo: Math.round(learntMsAgo),
+  });
 }
 
 /** Returns the timeout of a read at one database. */
--- a/src/home/statement-homes.ts
+++ b/src/home/statement-homes.ts
@@ -1,5 +1,6 @@
 /** Opens, serves and closes the certified homes on this node. */
 import type {Catalog, AnnouncedDatabase} from '../catalog/types.js';
+import type {Responsibility} from '../groups/failover-coordinator.js';
 import type {Clock} from '../infra/clock.js';
 import {runAtTicks} from '../infra/timer.js';
 import type {PeerHandler} from '../peers/types.js';
@@ -22,7 +23,7 @@
 /** Options of the statement homes. */
 export interface StatementHomesOptions extends Omit<
   CertifiedHomeOptions,
-  'group' | 'isFirstHome' | 'isResponsible' | 'readerIn'
+  'group' | 'isFirstHome' | 'responsibility' | 'readerIn'
 > {
   readonly clock: Clock;
   readonly catalog: () => Catalog;
@@ -30,8 +31,8 @@
   readonly isFirstHome: (group: string) => boolean;
   /** Returns the node that serves a group's reads in a data centre. */
   readonly readerIn: (group: string, dataCentre: string) => string | undefined;
-  /** Returns whether this node is the first choice among reachable nodes. */
-  readonly isResponsible: (group: string) => boolean;
+  /** Returns which node should replace a group's primary. */
+  readonly responsibility: (group: string) => Responsibility;
 }
 
 /** Runs statements on the groups whose home is on this node. */
@@ -129,14 +130,14 @@
   #ensureHome(group: string): CertifiedHome {
     const known = this.#homes.get(group);
     if (known !== undefined) return known;
-    const {isFirstHome, isResponsible, readerIn, entries, ...common} =
+    const {isFirstHome, responsibility, readerIn, entries, ...common} =
       this.#options;
     const home = new CertifiedHome({
       ...common,
       group,
       isFirstHome: () => isFirstHome(group),
       readerIn: dataCentre => readerIn(group, dataCentre),
-      isResponsible: () => isResponsible(group),
+      responsibility: () => responsibility(group),
     });
     this.#homes.set(group, home);
     for (const entry of entries()) {
--- a/src/node/cluster-state.ts
+++ b/src/node/cluster-state.ts
@@ -5,6 +5,7 @@
   type Catalog,
   type AnnouncedDatabase,
 } from '../catalog/types.js';
+import type {DrainNotice} from '../groups/drain-notice.js';
 import {FeedRelay} from '../fleet/feed-relay.js';
 import {MemberList} from '../fleet/member-list.js';
 import {
@@ -61,6 +62,7 @@
   readonly relay: FeedRelay;
   readonly #options: ClusterStateOptions;
   readonly #databases = new Map<string, AnnouncedDatabase>();
+  readonly #drainNotices = new Map<string, DrainNotice>();
   /** Instances of other nodes that were listed when this one started, by node. */
   readonly #earlierProcesses = new Map<string, string>();
   #catalog: Catalog = EMPTY_CATALOG;
@@ -92,6 +94,11 @@
     return this.#databases.values();
   }
 
+  /** Returns when this node learnt that a database drains, if it does. */
+  drainNoticeOf(id: string): DrainNotice | undefined {
+    return this.#drainNotices.get(id);
+  }
+
   /** True if leases may have lapsed because of the store, not their owners. */
   get mayHaveLapsed(): boolean {
     return this.feed.sinceInterruptionMs() < LAPSE_WINDOW_MS;
@@ -180,10 +187,20 @@
       role: entry?.role,
       state:
         entry === undefined ? 'gone' : entry.isDraining ? 'draining' : 'ready',
+      copyAgeMs: Math.round(this.feed.ageMs()),
     });
     if (entry === undefined) this.#databases.delete(id);
     else this.#databases.set(id, entry);
+    this.#recordDrain(id, entry);
     this.#options.onDatabase(id, entry);
     return true;
   }
+
+  #recordDrain(id: string, entry: AnnouncedDatabase | undefined): void {
+    if (!entry?.isDraining) this.#drainNotices.delete(id);
+    else if (!this.#drainNotices.has(id)) {
+      const learntAt = this.#options.clock.now();
+      this.#drainNotices.set(id, {learntAt, copyAgeMs: this.feed.ageMs()});
+    }
+  }
 }
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -336,7 +336,9 @@
       isFirstHome: group => this.#placement.isFirstHome(group),
       readerIn: (group, location) =>
         this.#placement.readerIn(group, location)?.id,
-      isResponsible: group => this.#placement.isResponsible(group),
+      responsibility: group => this.#placement.responsibility(group),
+      metrics: this.metrics,
+      drainNoticeOf: database => this.#cluster.drainNoticeOf(database),
       mayHaveLapsed: () => this.#cluster.mayHaveLapsed,
     });
   }
--- a/src/node/work-placement.ts
+++ b/src/node/work-placement.ts
@@ -6,6 +6,7 @@
 import type {HomeMonitor} from '../home/home-monitor.js';
 import type {PeerAddress} from '../peers/types.js';
 import {chooseNearbyReader} from '../routing/nearby-reader.js';
+import type {Responsibility} from '../groups/failover-coordinator.js';
 import type {ClusterState} from './cluster-state.js';
 
 /** Dependencies of {@link WorkPlacement}. */
@@ -44,11 +45,20 @@
     return this.homeOrder(group)[0]?.id === this.#options.self;
   }
 
-  /** True if this node is the first of a group's homes that is not silent. */
-  isResponsible(group: string): boolean {
-    return (
-      this.firstResponsive(this.homeOrder(group))?.id === this.#options.self
-    );
+  /**
+   * Returns the node that should replace a group's primary: the first of its
+   * homes that is not silent.
+   */
+  responsibility(group: string): Responsibility {
+    const order = this.homeOrder(group);
+    const node = this.firstResponsive(order)?.id;
+    return {
+      node,
+      isSelf: node === this.#options.self,
+      firstHome: order[0]?.id,
+      primaryDataCentre: this.#primaryDataCentre(group),
+      members: order.length,
+    };
   }
 
   /** Returns the node that serves a group's reads in a data centre, if any. */
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -1,6 +1,8 @@
 /** A node's metrics in the Prometheus text format. */
 import {createServer, type Server} from 'node:http';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {FailoverAttemptOutcome} from '../groups/failover-coordinator.js';
+import type {HomeMetrics} from '../home/home-metrics.js';
 
 /** Bucket bounds around the target response times of the routes. */
 const LATENCY_BUCKETS_S = [
@@ -8,6 +10,9 @@
 ];
 const METRICS_PATH = '/metrics';
 
+/** Bucket bounds around the usual time limits of a drain. */
+const DRAIN_AGE_BUCKETS_S = [0.5, 1, 2, 3, 4, 5, 6, 7, 8, 10, 15, 30];
+
 /** A finished statement. */
 export interface FinishedStatement {
   readonly group: string;
@@ -35,10 +40,12 @@
  * const metrics = new NodeMetrics();
  * metrics.observe({group: 'claims', kind: 'read', outcome: 'done', elapsedMs: 7});
  */
-export class NodeMetrics {
+export class NodeMetrics implements HomeMetrics {
   readonly #registry = new Registry();
   readonly #statements: Counter<'group' | 'kind' | 'outcome'>;
   readonly #latency: Histogram<'kind'>;
+  readonly #failoverAttempts: Counter<'group' | 'outcome'>;
+  readonly #drainAge: Histogram<'group'>;
 
   constructor() {
     const registers = [this.#registry];
@@ -55,6 +62,19 @@
       buckets: LATENCY_BUCKETS_S,
       registers,
     });
+    this.#failoverAttempts = new Counter({
+      name: 'zinnia_failover_attempts_total',
+      help: 'Attempts of this node to replace a primary, by how they ended.',
+      labelNames: ['group', 'outcome'],
+      registers,
+    });
+    this.#drainAge = new Histogram({
+      name: 'zinnia_draining_statement_age_seconds',
+      help: 'Statements sent to draining databases, by the age of that news.',
+      labelNames: ['group'],
+      buckets: DRAIN_AGE_BUCKETS_S,
+      registers,
+    });
   }
 
   /** Counts a statement; records its latency only if its outcome is `done`. */
@@ -63,6 +83,14 @@
     if (outcome === 'done') this.#latency.observe({kind}, elapsedMs / 1_000);
   }
 
+  recordFailoverAttempt(group: string, outcome: FailoverAttemptOutcome): void {
+    this.#failoverAttempts.inc({group, outcome});
+  }
+
+  recordDrainingStatement(group: string, ageMs: number): void {
+    this.#drainAge.observe({group}, ageMs / 1_000);
+  }
+
   /** Registers the gauges, which are read at each scrape. */
   registerGauges(gauges: NodeGauges): void {
     const add = (name: string, help: string, read: () => number) =>
--- a/test/statements/certified-reads.test.ts
+++ b/test/statements/certified-reads.test.ts
@@ -78,6 +78,11 @@
     }),
     gate: new WriteGate({clock, openTransactions: () => 0}),
     primaryRetryMs: () => 500,
+    metrics: {
+      recordFailoverAttempt: () => {},
+      recordDrainingStatement: () => {},
+    },
+    drainNoticeOf: () => undefined,
   };
   const attempt: StatementAttempt = {
     req: {
