--- a/src/groups/failover-coordinator.ts
+++ b/src/groups/failover-coordinator.ts
@@ -77,7 +77,10 @@
   /** Id of this node. */
   readonly self: string;
   readonly leadership: Leadership;
-  readonly failoverLease: Pick<FailoverLease, 'acquireToken' | 'release'>;
+  readonly failoverLease: Pick<
+    FailoverLease,
+    'acquireToken' | 'isHeld' | 'release'
+  >;
   readonly orders: FailoverOrders;
   /** The databases that the platform announces now. */
   readonly databases: () => readonly TrackedDatabase[];
@@ -135,14 +138,15 @@
   }
 
   async #check(): Promise<void> {
-    const {clock, databases, leadership} = this.#options;
-    const periodMs = this.#isResponsible() ? 0 : OBSERVER_PERIOD_MS;
+    const {clock, databases, leadership, failoverLease, group} = this.#options;
+    const isActive = this.#isResponsible() || failoverLease.isHeld(group);
+    const periodMs = isActive ? 0 : OBSERVER_PERIOD_MS;
     if (clock.now() - this.#checkedAt < periodMs) return;
     this.#checkedAt = clock.now();
     if (databases().length === 0) return;
     if (leadership.isContested) await this.#queryStates(databases());
     const cause = await this.#findCause();
-    if (cause === undefined || !this.#isResponsible()) return;
+    if (cause === undefined || !this.#mayReplacePrimary(cause)) return;
     this.#isReplacingPrimary = true;
     try {
       await this.#replacePrimary(cause);
@@ -151,7 +155,20 @@
     }
   }
 
-  /** Whether this node replaces the primary; logs when another node should. */
+  /**
+   * Whether this node replaces the primary. The responsible node may not be able
+   * to at once: the home moves with the primary, and its new node has to wait
+   * until the lease of the old one expires. Until then the holder replaces a
+   * primary that has failed. A draining one can wait for the responsible node,
+   * which holds the group's writes meanwhile.
+   */
+  #mayReplacePrimary(cause: ChangeCause): boolean {
+    const {group, failoverLease} = this.#options;
+    if (this.#isResponsible()) return true;
+    return cause !== 'draining' && failoverLease.isHeld(group);
+  }
+
+  /** Whether this node is responsible; logs when another node becomes it. */
   #isResponsible(): boolean {
     const {log, group, responsibility} = this.#options;
     const {node, ...basis} = responsibility();
@@ -206,7 +223,8 @@
   }
 
   async #replacePrimary(cause: ChangeCause): Promise<void> {
-    const {log, group, leadership, databases} = this.#options;
+    const {log, group, leadership, databases, failoverLease, recordAttempt} =
+      this.#options;
     const oldId = leadership.leaderId;
     const candidates = databases().filter(
       ({id, isDraining}) => id !== oldId && !isDraining,
@@ -227,8 +245,9 @@
       mostAdvanced(received) ?? mostAdvanced(visibleLogEnds(candidates));
     if (chosen === undefined) {
       log.warn('noDatabaseToPromote', {group, cause, asked: others.length});
-      this.#options.recordAttempt('noCandidate');
-      return;
+      recordAttempt('noCandidate');
+      // Another node may reach a candidate.
+      return failoverLease.release(group);
     }
     log.info('primaryChangeNeeded', {
       group,
@@ -237,10 +256,14 @@
       chosen,
       answered: states.size,
     });
+    // Acquired before writes are held: a node that may not order must not delay
+    // them.
+    const token = await failoverLease.acquireToken(group);
+    if (token === undefined) return recordAttempt('leaseNotHeld');
     const release =
       cause === 'draining' ? await this.#catchUp(oldId, chosen) : () => {};
     try {
-      await this.#promote(chosen);
+      await this.#promote(chosen, token);
     } finally {
       release();
     }
@@ -281,10 +304,13 @@
     return release;
   }
 
-  async #promote(databaseId: string): Promise<void> {
+  async #promote(databaseId: string, acquired: number): Promise<void> {
     const {failoverLease, orders, group, self, log, recordAttempt} =
       this.#options;
-    const token = await failoverLease.acquireToken(group);
+    // The lease may have expired while writes were held.
+    const token = failoverLease.isHeld(group)
+      ? acquired
+      : await failoverLease.acquireToken(group);
     if (token === undefined) return recordAttempt('leaseNotHeld');
     const outcome = await orders.promote({
       group,
--- a/src/groups/failover-lease.ts
+++ b/src/groups/failover-lease.ts
@@ -2,17 +2,33 @@
  * The failover lease of a group: it entitles one node at a time to promote a
  * database, under a fencing token that rises with every promotion order.
  *
- * The lease is a key in the store, attached to the holder's own store lease and
- * written by compare-and-swap, so that only one node can hold it. The key's
- * revision is the fencing token; revisions rise over the whole store. An order
- * whose answer was lost may still be carried out later, so every order takes a
- * new token.
+ * The lease is a key in the store, written by compare-and-swap, so that only one
+ * node can hold it. The key's revision is the fencing token; revisions rise over
+ * the whole store. An order whose answer was lost may still be carried out
+ * later, so every order takes a new token.
+ *
+ * The key is attached to a store lease of its own that only the next order
+ * renews. A holder that runs on but no longer acts therefore blocks the other
+ * nodes for `FAILOVER_LEASE_TTL_MS` at most.
  */
+import type {Clock} from '../infra/clock.js';
 import {LeaseGoneError, type LeasedStore} from '../infra/leased-store.js';
 import {StoreError, type StoredValue} from '../infra/store.js';
+import {
+  elapsedSince,
+  takeInstant,
+  type Instant,
+} from '../membership/elapsed.js';
 import type {Logger} from '../telemetry/log.js';
 
 const LEASE_KEY_PREFIX = 'zinnia/duties/failover/';
+/**
+ * Time to live after an order. Longer than the promoted database may take to
+ * lead, so that no other node orders another one meanwhile.
+ */
+export const FAILOVER_LEASE_TTL_MS = 3_000;
+/** The holder stops relying on the lease this long before it expires. */
+const EXPIRY_MARGIN_MS = 200;
 
 /** The outcome of a promotion order. */
 export type OrderOutcome =
@@ -35,24 +51,42 @@
 
 /** Options of {@link FailoverLease}. */
 export interface FailoverLeaseOptions {
-  readonly store: LeasedStore;
+  readonly store: Pick<LeasedStore, 'swap' | 'grant' | 'renew' | 'revoke'>;
+  readonly clock: Clock;
   readonly log: Logger;
   /** Id of this node. */
   readonly self: string;
-  /** Id of this node's store lease; undefined while it holds none. */
-  readonly lease: () => string | undefined;
+  /** The shortest lease that the store grants, in milliseconds. */
+  readonly minTtlMs: number;
+}
+
+/** A lease at the store for the key of one group. */
+interface StoreLease {
+  readonly id: string;
+  readonly ttlMs: number;
+  /** When the last successful grant or renewal was sent. */
+  readonly renewedAt: Instant;
+  /** Revision of the key as this node last wrote it; 0 if it holds none. */
+  readonly revision: number;
 }
 
 /** Acquires and releases this node's failover leases, one per group. */
 export class FailoverLease {
   readonly #options: FailoverLeaseOptions;
-  /** Revision of the key as this node last wrote it, by group. */
-  readonly #held = new Map<string, number>();
+  readonly #leases = new Map<string, StoreLease>();
 
   constructor(options: FailoverLeaseOptions) {
     this.#options = options;
   }
 
+  /** Whether this node certainly holds a group's lease now. */
+  isHeld(group: string): boolean {
+    const lease = this.#leases.get(group);
+    if (lease === undefined || lease.revision === 0) return false;
+    const ageMs = elapsedSince(this.#options.clock, lease.renewedAt);
+    return ageMs < lease.ttlMs - EXPIRY_MARGIN_MS;
+  }
+
   /**
    * Acquires or renews the failover lease. Returns the fencing token for one
    * order, or undefined if another node holds the lease or the store fails.
@@ -62,29 +96,11 @@
    * if (token !== undefined) await orders.promote({group, databaseId, holder, token});
    */
   async acquireToken(group: string): Promise<number | undefined> {
-    const {store, self, lease, log} = this.#options;
-    const leaseId = lease();
-    if (leaseId === undefined) return undefined;
-    const key = LEASE_KEY_PREFIX + group;
+    const {log} = this.#options;
     try {
-      let expected = this.#held.get(group) ?? 0;
-      for (let attempt = 0; attempt < 2; attempt++) {
-        const result = await store.swap(key, expected, self, leaseId);
-        if (result.kind === 'swapped') {
-          this.#held.set(group, result.revision);
-          log.info('dutyTaken', {group, token: result.revision});
-          return result.revision;
-        }
-        this.#held.delete(group);
-        if (!isHeldBySelf(result.current, self)) {
-          log.info('dutyHeldByOther', {group, holder: result.current?.value});
-          return undefined;
-        }
-        // The key was written by an earlier process of this node, or by a call
-        // whose answer was lost: retry from its current revision.
-        expected = result.current?.revision ?? 0;
-      }
-      return undefined;
+      const lease = await this.#renewOrGrant(group);
+      this.#leases.set(group, lease);
+      return await this.#writeKey(group, lease);
     } catch (err) {
       if (!(err instanceof StoreError || err instanceof LeaseGoneError))
         throw err;
@@ -93,24 +109,58 @@
     }
   }
 
-  /**
-   * Releases the failover lease, so that the group's next home can acquire it.
-   */
+  /** Releases the failover lease, so that another node can acquire it. */
   async release(group: string): Promise<void> {
-    const revision = this.#held.get(group);
-    if (revision === undefined) return;
-    this.#held.delete(group);
+    const lease = this.#leases.get(group);
+    if (lease === undefined) return;
+    this.#leases.delete(group);
     try {
-      await this.#options.store.swap(
-        LEASE_KEY_PREFIX + group,
-        revision,
-        undefined,
-      );
+      await this.#options.store.revoke(lease.id);
     } catch (err) {
-      // The store deletes the key when this node's store lease expires.
+      // The lease expires by itself.
       this.#options.log.warn('dutyNotReleased', {group, message: String(err)});
     }
   }
+
+  async #renewOrGrant(group: string): Promise<StoreLease> {
+    const {store, clock, minTtlMs} = this.#options;
+    const known = this.#leases.get(group);
+    const renewedAt = takeInstant(clock);
+    if (known !== undefined && (await store.renew(known.id))) {
+      return {...known, renewedAt};
+    }
+    const grantedAt = takeInstant(clock);
+    const wantedMs = Math.max(FAILOVER_LEASE_TTL_MS, minTtlMs);
+    const {id, ttlMs} = await store.grant(wantedMs);
+    return {id, ttlMs, renewedAt: grantedAt, revision: 0};
+  }
+
+  async #writeKey(
+    group: string,
+    lease: StoreLease,
+  ): Promise<number | undefined> {
+    const {store, self, log} = this.#options;
+    const key = LEASE_KEY_PREFIX + group;
+    let expected = lease.revision;
+    for (let attempt = 0; attempt < 2; attempt++) {
+      const result = await store.swap(key, expected, self, lease.id);
+      if (result.kind === 'swapped') {
+        const {revision} = result;
+        this.#leases.set(group, {...lease, revision});
+        log.info('dutyTaken', {group, token: revision, ttlMs: lease.ttlMs});
+        return revision;
+      }
+      this.#leases.set(group, {...lease, revision: 0});
+      if (!isHeldBySelf(result.current, self)) {
+        log.info('dutyHeldByOther', {group, holder: result.current?.value});
+        return undefined;
+      }
+      // The key was written by an earlier process of this node, or by a call
+      // whose answer was lost: retry from its current revision.
+      expected = result.current?.revision ?? 0;
+    }
+    return undefined;
+  }
 }
 
 function isHeldBySelf(current: StoredValue | undefined, self: string): boolean {
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -315,7 +315,8 @@
   }
 
   #createHomes(): StatementHomes {
-    const {id, log, connector, orders, store, dataCentre} = this.#options;
+    const {id, log, connector, orders, store, dataCentre, minLeaseMs} =
+      this.#options;
     const clock = this.#clock;
     return new StatementHomes({
       clock,
@@ -329,9 +330,10 @@
       quota: this.#budgets.holder,
       failoverLease: new FailoverLease({
         store,
+        clock,
         log,
         self: id,
-        lease: () => this.#lease.id,
+        minTtlMs: minLeaseMs,
       }),
       isFirstHome: group => this.#placement.isFirstHome(group),
       readerIn: (group, location) =>
--- /dev/null
+++ b/test/fakes/leased-store.ts
@@ -0,0 +1,145 @@
+/** In-memory store with leases, for tests under virtual time. */
+import {
+  HistoryGoneError,
+  LeaseGoneError,
+  type ChangeSet,
+  type Lease,
+  type LeasedStore,
+  type Snapshot,
+} from '../../src/infra/leased-store.js';
+import {
+  StoreError,
+  type StoredValue,
+  type SwapResult,
+  type WatchEvent,
+} from '../../src/infra/store.js';
+import type {VirtualClock} from './virtual-clock.js';
+
+interface StoredItem extends StoredValue {
+  readonly lease: string | undefined;
+}
+
+/**
+ * A store that answers at once; `isDown` makes every call fail without effect.
+ * Polls don't wait.
+ */
+export class FakeLeasedStore implements LeasedStore {
+  isDown = false;
+  /** Calls so far, by method. */
+  readonly calls = new Map<string, number>();
+  readonly #clock: VirtualClock;
+  readonly #items = new Map<string, StoredItem>();
+  readonly #expiry = new Map<string, {ttlMs: number; endsAt: number}>();
+  readonly #history: WatchEvent[] = [];
+  #revision = 1;
+  #compactedRevision = 0;
+  #leases = 0;
+
+  constructor(clock: VirtualClock) {
+    this.#clock = clock;
+  }
+
+  /** Returns the value of a key; undefined if there is none. */
+  valueOf(key: string): string | undefined {
+    this.#expire();
+    return this.#items.get(key)?.value;
+  }
+
+  /** Writes a key without a lease, whether or not the store is down. */
+  put(key: string, value: string): number {
+    return this.#put(key, value, undefined);
+  }
+
+  /** Removes a key, whether or not the store is down. */
+  remove(key: string): void {
+    if (!this.#items.delete(key)) return;
+    this.#history.push({key, value: undefined, revision: ++this.#revision});
+  }
+
+  /** Discards the history. */
+  compact(): void {
+    this.#history.length = 0;
+    this.#compactedRevision = this.#revision;
+  }
+
+  async list(prefix: string): Promise<Snapshot> {
+    this.#begin('list');
+    const values = [...this.#items.values()].filter(({key}) =>
+      key.startsWith(prefix),
+    );
+    return {values, asOf: this.#revision};
+  }
+
+  async changes(prefix: string, after: number): Promise<ChangeSet> {
+    this.#begin('changes');
+    if (after < this.#compactedRevision) throw new HistoryGoneError();
+    const events = this.#history.filter(
+      ({key, revision}) => revision > after && key.startsWith(prefix),
+    );
+    return {events, asOf: this.#revision};
+  }
+
+  async swap(
+    key: string,
+    expected: number,
+    value: string | undefined,
+    lease?: string,
+  ): Promise<SwapResult> {
+    this.#begin('swap');
+    const current = this.#items.get(key);
+    if ((current?.revision ?? 0) !== expected) {
+      return {kind: 'conflict', current};
+    }
+    if (value === undefined) this.remove(key);
+    else if (lease !== undefined && !this.#expiry.has(lease)) {
+      throw new LeaseGoneError(lease);
+    } else this.#put(key, value, lease);
+    return {kind: 'swapped', revision: this.#revision};
+  }
+
+  async grant(ttlMs: number): Promise<Lease> {
+    this.#begin('grant');
+    const id = `lease-${++this.#leases}`;
+    this.#expiry.set(id, {ttlMs, endsAt: this.#clock.now() + ttlMs});
+    return {id, ttlMs};
+  }
+
+  async renew(lease: string): Promise<boolean> {
+    this.#begin('renew');
+    const known = this.#expiry.get(lease);
+    if (known === undefined) return false;
+    known.endsAt = this.#clock.now() + known.ttlMs;
+    return true;
+  }
+
+  async revoke(lease: string): Promise<void> {
+    this.#begin('revoke');
+    this.#end(lease);
+  }
+
+  #begin(method: string): void {
+    this.calls.set(method, (this.calls.get(method) ?? 0) + 1);
+    if (this.isDown) throw new StoreError('notSent', 'the store is down');
+    this.#expire();
+  }
+
+  #put(key: string, value: string, lease: string | undefined): number {
+    const revision = ++this.#revision;
+    this.#items.set(key, {key, value, revision, lease});
+    this.#history.push({key, value, revision});
+    return revision;
+  }
+
+  #expire(): void {
+    for (const [lease, {endsAt}] of [...this.#expiry]) {
+      if (endsAt <= this.#clock.now()) this.#end(lease);
+    }
+  }
+
+  #end(lease: string): void {
+    this.#expiry.delete(lease);
+    for (const item of [...this.#items.values()]) {
+      if (item.lease === lease) this.remove(item.key);
+    }
+  }
+}
--- /dev/null
+++ b/test/statements/failover-lease.test.ts
@@ -0,0 +1,92 @@
+import {describe, expect, it} from 'vitest';
+import {
+  FAILOVER_LEASE_TTL_MS,
+  FailoverLease,
+} from '../../src/groups/failover-lease.js';
+import {createLogger} from '../../src/telemetry/log.js';
+import {FakeLeasedStore} from '../fakes/leased-store.js';
+import {VirtualClock} from '../fakes/virtual-clock.js';
+
+const GROUP = 'claims';
+
+function createLeases() {
+  const clock = new VirtualClock();
+  const store = new FakeLeasedStore(clock);
+  const leaseOf = (self: string) =>
+    new FailoverLease({
+      store,
+      clock,
+      log: createLogger('silent'),
+      self,
+      minTtlMs: 1_000,
+    });
+  return {clock, store, leaseOf};
+}
+
+describe('failover lease', () => {
+  it('excludes other nodes while it is held', async () => {
+    const {leaseOf} = createLeases();
+    const [a, b] = [leaseOf('a'), leaseOf('b')];
+    expect(await a.acquireToken(GROUP)).toBeDefined();
+    expect(await b.acquireToken(GROUP)).toBeUndefined();
+    expect(a.isHeld(GROUP)).toBe(true);
+    expect(b.isHeld(GROUP)).toBe(false);
+    expect(await b.acquireToken('other group')).toBeDefined();
+  });
+
+  it('does not outlive the acts of a holder that goes on running', async () => {
+    const {clock, leaseOf} = createLeases();
+    const [a, b] = [leaseOf('a'), leaseOf('b')];
+    const first = await a.acquireToken(GROUP);
+    await clock.advance(FAILOVER_LEASE_TTL_MS);
+    expect(a.isHeld(GROUP)).toBe(false);
+    expect(await b.acquireToken(GROUP)).toBeGreaterThan(first!);
+    expect(await a.acquireToken(GROUP)).toBeUndefined();
+  });
+
+  it('takes a higher token for each order, also after it has expired', async () => {
+    const {clock, leaseOf} = createLeases();
+    const lease = leaseOf('a');
+    const tokens: number[] = [];
+    for (const pauseMs of [0, 100, FAILOVER_LEASE_TTL_MS, 100]) {
+      await clock.advance(pauseMs);
+      tokens.push((await lease.acquireToken(GROUP))!);
+    }
+    expect(tokens).toEqual([...new Set(tokens)].toSorted((x, y) => x - y));
+    expect(lease.isHeld(GROUP)).toBe(true);
+  });
+
+  it('can be taken at once after its release', async () => {
+    const {leaseOf} = createLeases();
+    const [a, b] = [leaseOf('a'), leaseOf('b')];
+    await a.acquireToken(GROUP);
+    await a.release(GROUP);
+    expect(a.isHeld(GROUP)).toBe(false);
+    expect(await b.acquireToken(GROUP)).toBeDefined();
+  });
+
+  it('expires although its release did not reach the store', async () => {
+    const {clock, store, leaseOf} = createLeases();
+    const [a, b] = [leaseOf('a'), leaseOf('b')];
+    await a.acquireToken(GROUP);
+    store.isDown = true;
+    await a.release(GROUP);
+    store.isDown = false;
+    await clock.advance(FAILOVER_LEASE_TTL_MS);
+    expect(await b.acquireToken(GROUP)).toBeDefined();
+  });
+
+  it('passes to the next process of the same node', async () => {
+    const {leaseOf} = createLeases();
+    const first = await leaseOf('a').acquireToken(GROUP);
+    expect(await leaseOf('a').acquireToken(GROUP)).toBeGreaterThan(first!);
+  });
+
+  it('is not held after a pause of the process that the monotonic clock misses', async () => {
+    const {clock, leaseOf} = createLeases();
+    const lease = leaseOf('a');
+    await lease.acquireToken(GROUP);
+    clock.shiftWallClock(FAILOVER_LEASE_TTL_MS);
+    expect(lease.isHeld(GROUP)).toBe(false);
+  });
+});
