--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -31,7 +31,7 @@
 import type {HomeMetrics} from './home-metrics.js';
 import {OpenTransactions} from './open-transactions.js';
 import {PrimaryWrites} from './primary-writes.js';
-import type {StatementAttempt} from './statement-attempt.js';
+import {acceptsWork, type StatementAttempt} from './statement-attempt.js';
 import {
   failedStatement,
   type StatementRequest,
@@ -87,6 +87,8 @@
   readonly metrics: HomeMetrics;
   /** Returns when this node learnt that a database drains, if it does. */
   readonly drainNoticeOf: (id: string) => DrainNotice | undefined;
+  /** Time from a database's announcement until it may shut down. */
+  readonly drainMs: number;
   /** Returns whether announcements may have expired in a store outage. */
   readonly mayHaveLapsed: () => boolean;
 }
@@ -112,6 +114,7 @@
   readonly #reads: CertifiedReads;
   readonly #writes: PrimaryWrites;
   readonly #transactionStatements: TransactionStatements;
+  readonly #ctx: HomeContext;
   readonly #stopping = new AbortController();
   #running = 0;
   #lastUsedAt: number;
@@ -146,7 +149,9 @@
       primaryRetryMs: () => this.#primaryRetryMs,
       metrics: options.metrics,
       drainNoticeOf: options.drainNoticeOf,
+      drainMs: options.drainMs,
     };
+    this.#ctx = ctx;
     this.#reads = new CertifiedReads(ctx);
     this.#writes = new PrimaryWrites(ctx);
     this.#transactionStatements = new TransactionStatements(ctx);
@@ -317,8 +322,9 @@
     const needsPrimary =
       req.consistency === 'primary' ||
       (req.kind === 'write' && req.opens !== 'readOnly');
-    if (!needsPrimary || this.#leadership.leaderId !== undefined)
-      return undefined;
+    const {leaderId} = this.#leadership;
+    const canServe = leaderId !== undefined && acceptsWork(this.#ctx, leaderId);
+    if (!needsPrimary || canServe) return undefined;
     return notRun(
       'noPrimary',
       `group ${req.group} has no primary now`,
--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -14,6 +14,7 @@
 import type {GroupMember} from './group-member.js';
 import type {Slot} from './connection-pool.js';
 import {
+  acceptsWork,
   acquireSlot,
   answered,
   connectionVerdict,
@@ -339,8 +340,8 @@
   ): readonly string[] {
     const {members, leadership, clock, dataCentre} = this.#ctx;
     const candidates = [...members.values()]
-      .filter(
-        ({entry}) => !entry.isDraining || entry.id === leadership.leaderId,
+      .filter(({entry: {id, isDraining}}) =>
+        id === leadership.leaderId ? acceptsWork(this.#ctx, id) : !isDraining,
       )
       .filter(({entry}) => !req.nearOnly || entry.dataCentre === dataCentre)
       .map(member => ({
--- a/src/home/home-context.ts
+++ b/src/home/home-context.ts
@@ -27,4 +27,6 @@
   readonly metrics: HomeMetrics;
   /** Returns when this node learnt that a database drains, if it does. */
   readonly drainNoticeOf: (id: string) => DrainNotice | undefined;
+  /** Time from a database's announcement until it may shut down. */
+  readonly drainMs: number;
 }
--- a/src/home/statement-attempt.ts
+++ b/src/home/statement-attempt.ts
@@ -1,6 +1,7 @@
 /** A statement at its home, and helpers for reads, writes and transactions. */
 import type {Clock} from '../infra/clock.js';
 import type {DatabaseReply} from '../statements/types.js';
+import {newWorkEndsAt} from '../groups/drain-notice.js';
 import {TargetError} from '../targets/types.js';
 import {
   DONE,
@@ -33,7 +34,19 @@
   readonly deadlineAt: number;
 }
 
-/** Requests a slot; queues until `queueUntil` or the deadline at most. */
+/** Returns whether a database may get new statements: not late in its drain. */
+export function acceptsWork(
+  {clock, drainNoticeOf, drainMs}: HomeContext,
+  databaseId: string,
+): boolean {
+  const notice = drainNoticeOf(databaseId);
+  return notice === undefined || clock.now() < newWorkEndsAt(notice, drainMs);
+}
+
+/**
+ * Requests a slot for a statement outside an open transaction; queues until
+ * `queueUntil` or the deadline at most. Refuses a database whose drain ends.
+ */
 export async function acquireSlot(
   ctx: HomeContext,
   attempt: StatementAttempt,
@@ -41,6 +54,7 @@
   queueUntil: number,
 ): Promise<SlotResult<TeamConnection>> {
   const {req, signal, deadlineAt} = attempt;
+  if (!acceptsWork(ctx, member.id)) return drainingRefusal(ctx, member);
   const result = await member.pool.acquire({
     team: req.team,
     priority: req.priority,
@@ -48,10 +62,25 @@
     cancelled: signal,
     values: req.values,
   });
-  if (result.kind === 'granted') recordIfDraining(ctx, req, member);
+  if (result.kind === 'refused') return result;
+  // The drain may have ended while the statement was queued.
+  if (!acceptsWork(ctx, member.id)) {
+    result.slot.release();
+    return drainingRefusal(ctx, member);
+  }
+  recordIfDraining(ctx, req, member);
   return result;
 }
 
+function drainingRefusal(
+  {primaryRetryMs}: HomeContext,
+  {id}: GroupMember,
+): SlotResult<TeamConnection> {
+  const message = `database ${id} shuts down and gets no new statements`;
+  const verdict = notRun('targetUnavailable', message, primaryRetryMs());
+  return {kind: 'refused', verdict};
+}
+
 /** Records a statement that is about to be sent to a draining database. */
 function recordIfDraining(
   {clock, log, group, leadership, metrics, drainNoticeOf}: HomeContext,
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -75,6 +75,8 @@
   readonly rateWindowMs: number;
   /** Shortest lease that the store grants, in milliseconds. */
   readonly minLeaseMs: number;
+  /** Time from a database's announcement of its shutdown until it may stop. */
+  readonly drainMs: number;
   /** Time between the request to shut down and the kill of the process. */
   readonly graceMs: number;
   readonly log: Logger;
@@ -341,6 +343,7 @@
       responsibility: group => this.#placement.responsibility(group),
       metrics: this.metrics,
       drainNoticeOf: database => this.#cluster.drainNoticeOf(database),
+      drainMs: this.#options.drainMs,
       mayHaveLapsed: () => this.#cluster.mayHaveLapsed,
     });
   }
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -22,6 +22,7 @@
 cloud.address=10.200.0.2:8466
 limits.cpu_share=0.5
 bounds.grace_s=6
+bounds.drain_ms=10000
 bounds.revoke_ms=5000
 some.new.field=ignored
 `;
@@ -34,6 +35,7 @@
       peerPorts: [7560, 7575],
       cores: 0.5,
       graceMs: 6_000,
+      drainMs: 10_000,
       revokeMs: 5_000,
     });
   });
--- a/test/platform/fixture.ts
+++ b/test/platform/fixture.ts
@@ -23,6 +23,8 @@
 /** Configuration age above which nodes refuse statements that need a key. */
 export const KEY_LIMIT_MS = 3_000;
 export const GRACE_MS = 3_000;
+/** Time from a database's announcement until it may get no new statement. */
+export const DRAIN_MS = 3_000;
 
 /** A running node, its port for callers and its log lines. */
 export interface RunningNode {
@@ -197,6 +199,7 @@
       rateWindowMs: 5_000,
       minLeaseMs: 1_000,
       graceMs: GRACE_MS,
+      drainMs: DRAIN_MS,
       log,
       store: new PlatformStore(address(this.store.port)),
       decode: change => decoder.decode(change),
