--- a/src/home/connection-pool.ts
+++ b/src/home/connection-pool.ts
@@ -150,7 +150,7 @@
   /** Waits for a slot; refuses at once if none will be free in time. */
   async acquire(req: Req): Promise<SlotResult<C>> {
     if (req.cancelled.aborted) return CANCELLED_RESULT;
-    if (this.#closed) return this.#unavailable('is no longer in the group');
+    if (this.#closed) return this.#left();
     if (!this.#options.isReachable()) {
       return this.#unavailable('does not answer');
     }
@@ -161,10 +161,15 @@
     return this.#enqueue(req);
   }
 
-  /** Grants no more slots and closes the idle connections. */
+  /** Refuses the queued requests and all later ones; closes idle connections. */
   close(): void {
     this.#closed = true;
     this.#options.source.closeAll();
+    let taken = this.#queue.take();
+    while (taken !== undefined) {
+      taken.item.settle(this.#left());
+      taken = this.#queue.take();
+    }
   }
 
   get #slotLimit(): number {
@@ -208,12 +213,12 @@
   async #open(req: Req): Promise<SlotResult<C>> {
     try {
       const connection = await this.#options.source.take(req);
-      if (!req.cancelled.aborted) {
+      if (!req.cancelled.aborted && !this.#closed) {
         return {kind: 'granted', slot: this.#createSlot(connection)};
       }
       this.returnConnection(connection);
       this.#freeSlot();
-      return CANCELLED_RESULT;
+      return req.cancelled.aborted ? CANCELLED_RESULT : this.#left();
     } catch (err) {
       this.#freeSlot();
       const reason = err instanceof TargetError ? err.message : String(err);
@@ -292,6 +297,10 @@
     };
   }
 
+  #left(): SlotResult<C> {
+    return this.#unavailable('is no longer in the group');
+  }
+
   #unavailable(reason: string): SlotResult<C> {
     const message = `database ${this.#options.spec.id} ${reason}`;
     return {
--- a/test/home/database-pool.test.ts
+++ b/test/home/database-pool.test.ts
@@ -104,4 +104,28 @@
     expect(connects()).toBe(CONCURRENCY);
     expect(pool.outstanding).toBe(CONCURRENCY);
   });
+
+  it('sends no waiting request to a database that has left the group', async () => {
+    const {pool, connects} = createPool(new VirtualClock());
+    const granted = await Promise.all(
+      Array.from({length: CONCURRENCY}, () => pool.acquire(REQUEST)),
+    );
+    const waiting = pool.acquire(REQUEST);
+    pool.close();
+    for (const result of granted) {
+      if (result.kind === 'granted') result.slot.release();
+    }
+    expect(await waiting).toMatchObject({
+      kind: 'refused',
+      verdict: {reason: 'targetUnavailable'},
+    });
+    expect(connects()).toBe(CONCURRENCY);
+  });
+
+  it('grants no connection that was opened while its database left the group', async () => {
+    const {pool} = createPool(new VirtualClock());
+    const opening = pool.acquire(REQUEST);
+    pool.close();
+    expect((await opening).kind).toBe('refused');
+  });
 });
