--- a/src/groups/failover-coordinator.ts
+++ b/src/groups/failover-coordinator.ts
@@ -230,9 +230,10 @@
       ({id, isDraining}) => id !== oldId && !isDraining,
     );
     const others = databases().filter(({id}) => id !== oldId);
-    const states = await this.#queryStates(
-      candidates.length > 0 ? candidates : others,
-    );
+    // Two draining databases would replace each other until one is gone.
+    const isLastResort = candidates.length === 0 && cause !== 'draining';
+    const asked = isLastResort ? others : candidates;
+    const states = await this.#queryStates(asked);
     // The queries may have shown that another database leads already.
     if (leadership.leaderId !== oldId) return;
     const received = [...states].map(([id, state]): LogEnd => [
@@ -244,7 +245,7 @@
     const chosen =
       mostAdvanced(received) ?? mostAdvanced(visibleLogEnds(candidates));
     if (chosen === undefined) {
-      log.warn('noDatabaseToPromote', {group, cause, asked: others.length});
+      log.warn('noDatabaseToPromote', {group, cause, asked: asked.length});
       recordAttempt('noCandidate');
       // Another node may reach a candidate.
       return failoverLease.release(group);
