--- a/src/groups/failover-coordinator.ts
+++ b/src/groups/failover-coordinator.ts
@@ -79,12 +79,14 @@
   readonly leadership: Leadership;
   readonly failoverLease: Pick<
     FailoverLease,
-    'acquireToken' | 'isHeld' | 'release'
+    'acquireToken' | 'isHeld' | 'keep' | 'release'
   >;
   readonly orders: FailoverOrders;
   /** The databases that the platform announces now. */
   readonly databases: () => readonly TrackedDatabase[];
   readonly responsibility: () => Responsibility;
+  /** Whether this node's copy of the store is recent enough to act on. */
+  readonly hasFreshCopy: () => boolean;
   /** Holds writes until the returned function is called. */
   readonly holdWrites: () => Promise<() => void>;
   /** Called when the primary has failed its probes. */
@@ -139,7 +141,9 @@
 
   async #check(): Promise<void> {
     const {clock, databases, leadership, failoverLease, group} = this.#options;
-    const isActive = this.#isResponsible() || failoverLease.isHeld(group);
+    const isResponsible = this.#isResponsible();
+    if (isResponsible) await failoverLease.keep(group);
+    const isActive = isResponsible || failoverLease.isHeld(group);
     const periodMs = isActive ? 0 : OBSERVER_PERIOD_MS;
     if (clock.now() - this.#checkedAt < periodMs) return;
     this.#checkedAt = clock.now();
@@ -161,9 +165,12 @@
    * until the lease of the old one expires. Until then the holder replaces a
    * primary that has failed. A draining one can wait for the responsible node,
    * which holds the group's writes meanwhile.
+   *
+   * A node that has just regained the store may not know of a promotion yet.
    */
   #mayReplacePrimary(cause: ChangeCause): boolean {
-    const {group, failoverLease} = this.#options;
+    const {group, failoverLease, hasFreshCopy} = this.#options;
+    if (!hasFreshCopy()) return false;
     if (this.#isResponsible()) return true;
     return cause !== 'draining' && failoverLease.isHeld(group);
   }
--- a/src/groups/failover-lease.ts
+++ b/src/groups/failover-lease.ts
@@ -7,9 +7,10 @@
  * the whole store. An order whose answer was lost may still be carried out
  * later, so every order takes a new token.
  *
- * The key is attached to a store lease of its own that only the next order
- * renews. A holder that runs on but no longer acts therefore blocks the other
- * nodes for `FAILOVER_LEASE_TTL_MS` at most.
+ * The key is attached to a store lease of its own, which the holder renews while
+ * it is responsible for the group. The first node that ordered thus keeps the
+ * others, whose view may be partial, from overruling it; a holder that runs on
+ * without being responsible blocks them for `FAILOVER_LEASE_TTL_MS` at most.
  */
 import type {Clock} from '../infra/clock.js';
 import {LeaseGoneError, type LeasedStore} from '../infra/leased-store.js';
@@ -23,10 +24,12 @@
 
 const LEASE_KEY_PREFIX = 'zinnia/duties/failover/';
 /**
- * Time to live after an order. Longer than the promoted database may take to
+ * Time to live after an order or renewal. Longer than the promoted database may take to
  * lead, so that no other node orders another one meanwhile.
  */
 export const FAILOVER_LEASE_TTL_MS = 3_000;
+/** Three renewals fit into the lease. */
+const RENEW_PERIOD_MS = 1_000;
 /** The holder stops relying on the lease this long before it expires. */
 const EXPIRY_MARGIN_MS = 200;
 
@@ -109,6 +112,26 @@
     }
   }
 
+  /**
+   * Renews the lease of a group if this node holds it and the last renewal is
+   * not recent.
+   */
+  async keep(group: string): Promise<void> {
+    const {store, clock, log} = this.#options;
+    const lease = this.#leases.get(group);
+    if (lease === undefined || !this.isHeld(group)) return;
+    if (elapsedSince(clock, lease.renewedAt) < RENEW_PERIOD_MS) return;
+    const renewedAt = takeInstant(clock);
+    try {
+      if (await store.renew(lease.id)) {
+        this.#leases.set(group, {...lease, renewedAt});
+      } else this.#leases.delete(group);
+    } catch (err) {
+      // The next check tries again until the lease expires.
+      log.info('dutyNotRenewed', {group, message: String(err)});
+    }
+  }
+
   /** Releases the failover lease, so that another node can acquire it. */
   async release(group: string): Promise<void> {
     const lease = this.#leases.get(group);
--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -84,6 +84,8 @@
   readonly readerIn: (dataCentre: string) => string | undefined;
   /** Returns which node should replace the group's primary. */
   readonly responsibility: () => Responsibility;
+  /** Returns whether this node's copy of the store is recent. */
+  readonly hasFreshCopy: () => boolean;
   readonly metrics: HomeMetrics;
   /** Returns when this node learnt that a database drains, if it does. */
   readonly drainNoticeOf: (id: string) => DrainNotice | undefined;
@@ -410,6 +412,7 @@
         }));
       },
       responsibility,
+      hasFreshCopy: this.#options.hasFreshCopy,
       recordAttempt: outcome =>
         this.#options.metrics.recordFailoverAttempt(group, outcome),
       holdWrites: async () => {
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -208,8 +208,15 @@
 
   /** True if the node is ready for new callers. */
   get isReady(): boolean {
-    const isFresh = this.#cluster.feed.ageMs() <= MAX_READY_CATALOG_AGE_MS;
-    return !this.#isLeaving && isFresh && this.#cluster.catalog.version > 0;
+    return (
+      !this.#isLeaving &&
+      this.#hasFreshCopy &&
+      this.#cluster.catalog.version > 0
+    );
+  }
+
+  get #hasFreshCopy(): boolean {
+    return this.#cluster.feed.ageMs() <= MAX_READY_CATALOG_AGE_MS;
   }
 
   /**
@@ -341,6 +348,7 @@
       readerIn: (group, location) =>
         this.#placement.readerIn(group, location)?.id,
       responsibility: group => this.#placement.responsibility(group),
+      hasFreshCopy: () => this.#hasFreshCopy,
       metrics: this.metrics,
       drainNoticeOf: database => this.#cluster.drainNoticeOf(database),
       drainMs: this.#options.drainMs,
--- a/test/statements/failover-lease.test.ts
+++ b/test/statements/failover-lease.test.ts
@@ -44,6 +44,19 @@
     expect(await a.acquireToken(GROUP)).toBeUndefined();
   });
 
+  it('is kept by a holder that renews it, and by no other node', async () => {
+    const {clock, leaseOf} = createLeases();
+    const [a, b] = [leaseOf('a'), leaseOf('b')];
+    await a.acquireToken(GROUP);
+    for (let n = 0; n < 10; n++) {
+      await clock.advance(FAILOVER_LEASE_TTL_MS / 2);
+      await a.keep(GROUP);
+      await b.keep(GROUP);
+      expect(await b.acquireToken(GROUP)).toBeUndefined();
+    }
+    expect(a.isHeld(GROUP)).toBe(true);
+  });
+
   it('takes a higher token for each order, also after it has expired', async () => {
     const {clock, leaseOf} = createLeases();
     const lease = leaseOf('a');
