--- a/src/catalog/types.ts
+++ b/src/catalog/types.ts
@@ -69,6 +69,8 @@
   readonly isDraining: boolean;
   /** Role that it reported; undefined if it reported none. */
   readonly role: 'primary' | 'replica' | undefined;
+  /** Rises with each announcement of one process. */
+  readonly sequence: number;
   /** Start of its process by its own wall clock, in Unix milliseconds. */
   readonly startedAt: number | undefined;
 }
--- a/src/explain/timeline.ts
+++ b/src/explain/timeline.ts
@@ -26,6 +26,9 @@
 ]);
 /** Events about a node; relevant to requests that it handled. */
 const NODE_EVENTS: ReadonlySet<string> = new Set([
+  'announcementRejected',
+  'catalogVersionFell',
+  'copyReadAfterRestore',
   'feedSourceChanged',
   'homeAnswers',
   'homeSilent',
@@ -33,6 +36,7 @@
   'storeHistoryGone',
   'storeLost',
   'storeRegained',
+  'storeRestored',
 ]);
 /** Node events whose latest line is included whatever its age. */
 const STATE_EVENTS: ReadonlySet<string> = new Set([
--- a/src/fleet/member-lease.ts
+++ b/src/fleet/member-lease.ts
@@ -18,6 +18,11 @@
 const RETRY_MS = 100;
 /** The node stops relying on its lease this long before it expires. */
 const EXPIRY_MARGIN_MS = 200;
+/**
+ * After a restore of the store every node writes its record again: two calls a
+ * node, spread so that the fleet makes 1,000 calls a second.
+ */
+const REWRITE_SPREAD_MS_PER_NODE = 2;
 
 /** Dependencies and settings of {@link MemberLease}. */
 export interface MemberLeaseOptions {
@@ -27,6 +32,10 @@
   readonly self: FleetMember;
   /** The shortest lease that the store grants, in milliseconds. */
   readonly minTtlMs: number;
+  /** Returns the number of live nodes. */
+  readonly fleetSize: () => number;
+  /** Returns a number from 0 to 1; `Math.random` by default. */
+  readonly random?: () => number;
 }
 
 /**
@@ -46,6 +55,8 @@
   #renewedAt: Instant | undefined;
   #heldSince: number | undefined;
   #revision = 0;
+  /** The store's era in which this node's record was last written. */
+  #recordEra = 0;
 
   constructor(options: MemberLeaseOptions) {
     this.#options = options;
@@ -119,14 +130,24 @@
     const wasHeld = this.isHeld;
     const sentAt = takeInstant(clock);
     const lease = this.#lease ?? '';
-    if (!(await store.renew(lease))) {
+    const {isAlive, era} = await store.renew(lease);
+    const wasRestored = era !== this.#recordEra;
+    if (wasRestored) await this.#spreadRewrite();
+    if (!isAlive) {
       this.#clearLease();
       return this.#register();
     }
+    // The copy that the store was restored from may lack the latest record.
+    if (wasRestored) await this.#write(lease);
     this.#renewedAt = sentAt;
     if (!wasHeld) this.#heldSince = clock.now();
   }
 
+  #spreadRewrite(): Promise<void> {
+    const {clock, fleetSize, random = Math.random} = this.#options;
+    return clock.sleep(random() * fleetSize() * REWRITE_SPREAD_MS_PER_NODE);
+  }
+
   async #write(lease: string): Promise<void> {
     const {store, self} = this.#options;
     const key = memberKey(self.id);
@@ -135,7 +156,8 @@
     for (;;) {
       const result = await store.swap(key, expected, value, lease);
       if (result.kind === 'swapped') {
-        this.#revision = result.revision;
+        this.#revision = result.at.revision;
+        this.#recordEra = result.at.era;
         return;
       }
       // Written by an earlier process of this node, or by an earlier attempt
--- a/src/fleet/relayed-store.ts
+++ b/src/fleet/relayed-store.ts
@@ -1,4 +1,5 @@
 /** Reads the store's changes through a watcher, with the store as fallback. */
+import type {EraCheckedStore} from '../infra/era-checked-store.js';
 import {
   HistoryGoneError,
   type ChangeSet,
@@ -7,7 +8,12 @@
 } from '../infra/leased-store.js';
 import type {PeerAddress, PeerCaller} from '../peers/types.js';
 import type {Logger} from '../telemetry/log.js';
-import {decodeRelayReply, RELAY_METHOD} from './feed-relay.js';
+import type {StorePosition} from '../infra/store-position.js';
+import {
+  decodeRelayReply,
+  encodeRelayRequest,
+  RELAY_METHOD,
+} from './feed-relay.js';
 
 /** Timeout of a request to a watcher, which answers from memory. */
 const RELAY_TIMEOUT_MS = 300;
@@ -22,7 +28,7 @@
 
 /** Dependencies of {@link RelayedStore}. */
 export interface RelayedStoreOptions {
-  readonly store: Pick<LeasedStore, 'list' | 'changes'>;
+  readonly store: Pick<EraCheckedStore, 'list' | 'changes' | 'observe'>;
   readonly peers: PeerCaller;
   readonly log: Logger;
   /**
@@ -58,7 +64,7 @@
 
   async changes(
     prefix: string,
-    after: number,
+    after: StorePosition,
     waitMs: number,
   ): Promise<ChangeSet> {
     const changes = await this.#requestFromWatchers(after);
@@ -67,7 +73,7 @@
 
   /** The first fresh answer of a watcher; undefined if there is none. */
   async #requestFromWatchers(
-    after: number | undefined,
+    after: StorePosition | undefined,
   ): Promise<ChangeSet | undefined> {
     const watchers = this.#options.watchers().slice(0, MAX_WATCHERS_TRIED);
     for (const watcher of watchers) {
@@ -84,16 +90,18 @@
   /** @throws HistoryGoneError if the watcher no longer has the changes after `after` */
   async #requestFrom(
     watcher: PeerAddress,
-    after: number | undefined,
+    after: StorePosition | undefined,
   ): Promise<ChangeSet | undefined> {
-    const {peers, log} = this.#options;
+    const {peers, log, store} = this.#options;
     const options = {timeoutMs: RELAY_TIMEOUT_MS};
     let changes: ChangeSet | undefined;
     try {
-      const body = after === undefined ? {} : {after};
+      const body = encodeRelayRequest(after);
       changes = decodeRelayReply(
         await peers.call(watcher, RELAY_METHOD, body, options),
       );
+      // Throws if the watcher has not noticed a restore that this node has.
+      if (changes !== undefined) store.observe(changes.asOf.era, 'notSent');
     } catch (err) {
       log.info('watcherFailed', {
         watcher: watcher.id,
--- a/src/fleet/store-feed.ts
+++ b/src/fleet/store-feed.ts
@@ -19,6 +19,11 @@
   type LeasedStore,
 } from '../infra/leased-store.js';
 import type {StoredValue} from '../infra/store.js';
+import {
+  compareStorePositions,
+  HISTORY_START,
+  type StorePosition,
+} from '../infra/store-position.js';
 import type {Logger} from '../telemetry/log.js';
 
 /**
@@ -51,7 +56,7 @@
   readonly key: string;
   /** Undefined if the key was removed. */
   readonly value: string | undefined;
-  readonly revision: number;
+  readonly at: StorePosition;
 }
 
 /** Dependencies and settings of {@link StoreFeed}. */
@@ -75,12 +80,14 @@
  */
 export class StoreFeed {
   readonly #options: StoreFeedOptions;
-  readonly #revisions = new Map<string, number>();
-  /** Revisions covered by the answers of the overlap period, oldest first. */
-  readonly #covered: {readonly asOf: number; readonly at: number}[] = [];
+  readonly #positions = new Map<string, StorePosition>();
+  /** Positions covered by the answers of the overlap period, oldest first. */
+  readonly #covered: {readonly asOf: StorePosition; readonly at: number}[] = [];
   #confirmedAt: Instant | undefined;
   #interruptedAt: Instant | undefined;
   #isFailing = false;
+  /** Position of the last answer. */
+  #lastAsOf: StorePosition | undefined;
   #startedAtMs = 0;
 
   constructor(options: StoreFeedOptions) {
@@ -94,10 +101,10 @@
   }
 
   /**
-   * The revision up to which the copy is known to be complete, after which
+   * The position up to which the copy is known to be complete, after which
    * polls request changes; undefined until the store has been read.
    */
-  get confirmedRevision(): number | undefined {
+  get confirmedPosition(): StorePosition | undefined {
     return this.#covered[0]?.asOf;
   }
 
@@ -160,6 +167,7 @@
     const {store, clock, prefix} = this.#options;
     const sentAt = takeInstant(clock);
     const {values, asOf, ...relayInfo} = await store.list(prefix);
+    this.#noticeRestore(asOf);
     this.#replaceAll(values, asOf);
     this.#covered.length = 0;
     this.#recordCovered(asOf);
@@ -169,21 +177,26 @@
   async #poll(): Promise<void> {
     const {store, clock, prefix} = this.#options;
     const sentAt = takeInstant(clock);
-    const after = this.confirmedRevision ?? 0;
+    const after = this.confirmedPosition ?? HISTORY_START;
     const waitMs = this.#needsImmediatePoll ? 0 : POLL_WAIT_MS;
     const {events, asOf, ...relayInfo} = await store.changes(
       prefix,
       after,
       waitMs,
     );
-    for (const event of events) this.#apply(event);
+    // Revisions of another era don't continue from `after`.
+    if (asOf.era !== after.era) throw new HistoryGoneError();
+    for (const {key, value, revision} of events) {
+      this.#apply({key, value, at: {era: asOf.era, revision}});
+    }
     this.#recordCovered(asOf);
     this.#recordConfirmation(sentAt, relayInfo);
   }
 
-  #recordCovered(asOf: number): void {
+  #recordCovered(asOf: StorePosition): void {
     const at = this.#options.clock.now();
     this.#covered.push({asOf, at});
+    this.#lastAsOf = asOf;
     while ((this.#covered[1]?.at ?? at) <= at - POLL_OVERLAP_MS) {
       this.#covered.shift();
     }
@@ -204,20 +217,41 @@
     this.#interruptedAt = instantBefore(sentAt, interruptedMsAgo);
   }
 
-  #replaceAll(values: readonly StoredValue[], asOf: number): void {
+  /**
+   * A restore counts as an interruption: what the copy lacks may be written
+   * again soon.
+   */
+  #noticeRestore(asOf: StorePosition): void {
+    const before = this.#lastAsOf;
+    if (before === undefined || before.era === asOf.era) return;
+    this.#interruptedAt = takeInstant(this.#options.clock);
+    this.#options.log.warn('copyReadAfterRestore', {
+      fromEra: before.era,
+      toEra: asOf.era,
+      revisionBefore: before.revision,
+      revision: asOf.revision,
+      keys: this.#positions.size,
+      provenMsAgo: Math.round(this.ageMs()),
+    });
+  }
+
+  #replaceAll(values: readonly StoredValue[], asOf: StorePosition): void {
     const listed = new Set(values.map(({key}) => key));
-    for (const key of [...this.#revisions.keys()]) {
+    for (const key of [...this.#positions.keys()]) {
       if (listed.has(key)) continue;
-      this.#apply({key, value: undefined, revision: asOf});
+      this.#apply({key, value: undefined, at: asOf});
+    }
+    for (const {key, value, revision} of values) {
+      this.#apply({key, value, at: {era: asOf.era, revision}});
     }
-    for (const value of values) this.#apply(value);
   }
 
   #apply(change: FeedChange): void {
-    const {key, value, revision} = change;
-    if (revision <= (this.#revisions.get(key) ?? 0)) return;
-    this.#revisions.set(key, revision);
-    this.#options.onChange({key, value, revision});
+    const {key, at} = change;
+    const known = this.#positions.get(key) ?? HISTORY_START;
+    if (compareStorePositions(at, known) <= 0) return;
+    this.#positions.set(key, at);
+    this.#options.onChange(change);
   }
 
   #recordSuccess(): void {
--- a/src/groups/failover-lease.ts
+++ b/src/groups/failover-lease.ts
@@ -3,9 +3,10 @@
  * database, under a fencing token that rises with every promotion order.
  *
  * The lease is a key in the store, written by compare-and-swap, so that only one
- * node can hold it. The key's revision is the fencing token; revisions rise over
- * the whole store. An order whose answer was lost may still be carried out
- * later, so every order takes a new token.
+ * node can hold it. The position of the write is the fencing token: it rises over
+ * the whole store, and over restores of the store from a copy. An order whose
+ * answer was lost may still be carried out later, so every order takes a new
+ * token.
  *
  * The key is attached to a store lease of its own, which the holder renews while
  * it is responsible for the group. The first node that ordered thus keeps the
@@ -13,8 +14,10 @@
  * without being responsible blocks them for `FAILOVER_LEASE_TTL_MS` at most.
  */
 import type {Clock} from '../infra/clock.js';
-import {LeaseGoneError, type LeasedStore} from '../infra/leased-store.js';
+import type {EraCheckedStore} from '../infra/era-checked-store.js';
+import {LeaseGoneError} from '../infra/leased-store.js';
 import {StoreError, type StoredValue} from '../infra/store.js';
+import type {StorePosition} from '../infra/store-position.js';
 import {
   elapsedSince,
   takeInstant,
@@ -54,7 +57,10 @@
 
 /** Options of {@link FailoverLease}. */
 export interface FailoverLeaseOptions {
-  readonly store: Pick<LeasedStore, 'swap' | 'grant' | 'renew' | 'revoke'>;
+  readonly store: Pick<
+    EraCheckedStore,
+    'swap' | 'grant' | 'renew' | 'revoke' | 'era'
+  >;
   readonly clock: Clock;
   readonly log: Logger;
   /** Id of this node. */
@@ -69,6 +75,8 @@
   readonly ttlMs: number;
   /** When the last successful grant or renewal was sent. */
   readonly renewedAt: Instant;
+  /** The store's era in which it was last renewed. */
+  readonly era: number;
   /** Revision of the key as this node last wrote it; 0 if it holds none. */
   readonly revision: number;
 }
@@ -86,6 +94,8 @@
   isHeld(group: string): boolean {
     const lease = this.#leases.get(group);
     if (lease === undefined || lease.revision === 0) return false;
+    // A restored store may not know the lease.
+    if (lease.era !== this.#options.store.era) return false;
     const ageMs = elapsedSince(this.#options.clock, lease.renewedAt);
     return ageMs < lease.ttlMs - EXPIRY_MARGIN_MS;
   }
@@ -123,7 +133,8 @@
     if (elapsedSince(clock, lease.renewedAt) < RENEW_PERIOD_MS) return;
     const renewedAt = takeInstant(clock);
     try {
-      if (await store.renew(lease.id)) {
+      const {isAlive, era} = await store.renew(lease.id);
+      if (isAlive && era === lease.era) {
         this.#leases.set(group, {...lease, renewedAt});
       } else this.#leases.delete(group);
     } catch (err) {
@@ -145,17 +156,27 @@
     }
   }
 
+  async #abandon(group: string, from: number, to: number): Promise<undefined> {
+    this.#options.log.warn('dutyNotTaken', {
+      group,
+      message: `the store was restored from era ${from} to ${to} meanwhile`,
+    });
+    await this.release(group);
+    return undefined;
+  }
+
   async #renewOrGrant(group: string): Promise<StoreLease> {
     const {store, clock, minTtlMs} = this.#options;
     const known = this.#leases.get(group);
     const renewedAt = takeInstant(clock);
-    if (known !== undefined && (await store.renew(known.id))) {
-      return {...known, renewedAt};
+    if (known !== undefined) {
+      const {isAlive, era} = await store.renew(known.id);
+      if (isAlive && era === known.era) return {...known, renewedAt};
     }
     const grantedAt = takeInstant(clock);
     const wantedMs = Math.max(FAILOVER_LEASE_TTL_MS, minTtlMs);
-    const {id, ttlMs} = await store.grant(wantedMs);
-    return {id, ttlMs, renewedAt: grantedAt, revision: 0};
+    const {id, ttlMs, era} = await store.grant(wantedMs);
+    return {id, ttlMs, era, renewedAt: grantedAt, revision: 0};
   }
 
   async #writeKey(
@@ -168,10 +189,13 @@
     for (let attempt = 0; attempt < 2; attempt++) {
       const result = await store.swap(key, expected, self, lease.id);
       if (result.kind === 'swapped') {
-        const {revision} = result;
+        const {era, revision} = result.at;
+        // After a restore the expected revision may be another node's write.
+        if (era !== lease.era) return this.#abandon(group, lease.era, era);
+        const token = fencingTokenOf(result.at);
         this.#leases.set(group, {...lease, revision});
-        log.info('dutyTaken', {group, token: revision, ttlMs: lease.ttlMs});
-        return revision;
+        log.info('dutyTaken', {group, token, era, ttlMs: lease.ttlMs});
+        return token;
       }
       this.#leases.set(group, {...lease, revision: 0});
       if (!isHeldBySelf(result.current, self)) {
@@ -186,6 +210,21 @@
   }
 }
 
+/** Revisions per era in the token; a store needs decades for as many. */
+const REVISIONS_PER_ERA = 2 ** 40;
+
+/**
+ * Returns the fencing token of a write: higher for each later position, also
+ * where a restored store gives revisions out again.
+ *
+ * @throws Error after 8,192 restores, as a token is a safe integer
+ */
+export function fencingTokenOf({era, revision}: StorePosition): number {
+  const token = era * REVISIONS_PER_ERA + revision;
+  if (Number.isSafeInteger(token)) return token;
+  throw new Error(`no fencing token is left for era ${era} of the store`);
+}
+
 function isHeldBySelf(current: StoredValue | undefined, self: string): boolean {
   return current === undefined || current.value === self;
 }
--- a/src/infra/leased-store.ts
+++ b/src/infra/leased-store.ts
@@ -1,5 +1,6 @@
 /** Port to a key-value store with leases, revisions and long polling. */
-import type {StoredValue, SwapResult, WatchEvent} from './store.js';
+import type {StoredValue, WatchEvent} from './store.js';
+import type {StorePosition} from './store-position.js';
 
 /** Age of an answer that another node relayed from the store. */
 export interface RelayFreshness {
@@ -12,8 +13,8 @@
 /** Changes under a prefix, complete up to a revision. */
 export interface ChangeSet extends RelayFreshness {
   readonly events: readonly WatchEvent[];
-  /** All changes up to this revision are included. */
-  readonly asOf: number;
+  /** All changes up to this position are included. */
+  readonly asOf: StorePosition;
 }
 
 /** A granted lease. */
@@ -21,13 +22,31 @@
   readonly id: string;
   /** Time to live, from when the store received the grant request. */
   readonly ttlMs: number;
+  /** The store's era when it granted the lease. */
+  readonly era: number;
 }
 
+/** Answer to the renewal of a lease. */
+export interface Renewal {
+  /** False if the lease has ended. */
+  readonly isAlive: boolean;
+  readonly era: number;
+}
+
+/** Result of a compare-and-swap at a store with eras. */
+export type LeasedSwapResult =
+  | {readonly kind: 'swapped'; readonly at: StorePosition}
+  | {
+      readonly kind: 'conflict';
+      readonly current: StoredValue | undefined;
+      readonly era: number;
+    };
+
 /** All keys under a prefix. */
 export interface Snapshot extends RelayFreshness {
   readonly values: readonly StoredValue[];
-  /** Revision at which the first page was read. */
-  readonly asOf: number;
+  /** Position at which the first page was read. */
+  readonly asOf: StorePosition;
 }
 
 /**
@@ -37,8 +56,15 @@
  */
 export interface LeasedStore {
   list(prefix: string): Promise<Snapshot>;
-  /** Long poll: waits up to `waitMs` for changes after a revision. */
-  changes(prefix: string, after: number, waitMs: number): Promise<ChangeSet>;
+  /**
+   * Long poll: waits up to `waitMs` for changes after a position. If the answer
+   * is of a later era, its changes don't continue from that position.
+   */
+  changes(
+    prefix: string,
+    after: StorePosition,
+    waitMs: number,
+  ): Promise<ChangeSet>;
   /**
    * Compare-and-swap: writes only if the key's revision is `expected`, where 0
    * stands for a missing key. A value of undefined deletes the key. A key
@@ -51,10 +77,9 @@
     expected: number,
     value: string | undefined,
     lease?: string,
-  ): Promise<SwapResult>;
+  ): Promise<LeasedSwapResult>;
   grant(ttlMs: number): Promise<Lease>;
-  /** Renews a lease; false if it has ended. */
-  renew(lease: string): Promise<boolean>;
+  renew(lease: string): Promise<Renewal>;
   revoke(lease: string): Promise<void>;
 }
 
--- a/src/node/cluster-state.ts
+++ b/src/node/cluster-state.ts
@@ -1,5 +1,11 @@
 /** Local replica of the store: members, announced databases, configuration. */
 import {isDeepStrictEqual} from 'node:util';
+import {LRUCache} from 'lru-cache';
+import {
+  findStaleReason,
+  type LastAnnouncement,
+  type StaleReason,
+} from '../catalog/announcement-order.js';
 import {
   EMPTY_CATALOG,
   type Catalog,
@@ -15,7 +21,8 @@
 } from '../fleet/member-record.js';
 import {StoreFeed, type FeedChange} from '../fleet/store-feed.js';
 import type {Clock} from '../infra/clock.js';
-import type {LeasedStore} from '../infra/leased-store.js';
+import type {ChangeSet, LeasedStore} from '../infra/leased-store.js';
+import type {StorePosition} from '../infra/store-position.js';
 import type {Logger} from '../telemetry/log.js';
 
 /** Leases may have lapsed if a poll of the store failed within this interval. */
@@ -31,12 +38,31 @@
       readonly entry: AnnouncedDatabase | undefined;
     };
 
+/** Number of databases whose last announcement is remembered. */
+const MAX_REMEMBERED_DATABASES = 10_000;
+
+/** What a change of the store did to the replica. */
+type ChangeEffect =
+  | 'new'
+  /** It repeats what is known. */
+  | 'unchanged'
+  /** It is older than what is known. */
+  | 'rejected'
+  /** It is not relevant. */
+  | 'ignored';
+
+/** Counts values of the store that were older than what was known. */
+export interface RejectionMetrics {
+  recordRejectedValue(reason: StaleReason | 'catalogVersion'): void;
+}
+
 /** Dependencies of {@link ClusterState}. */
 export interface ClusterStateOptions {
   readonly clock: Clock;
   readonly log: Logger;
   readonly self: string;
   readonly store: Pick<LeasedStore, 'list' | 'changes'>;
+  readonly metrics: RejectionMetrics;
   /** Decodes a change of the store; undefined if the key is not relevant. */
   readonly decode: (change: FeedChange) => ClusterStateChange | undefined;
   /** Called when a database's announcement changes or disappears. */
@@ -62,7 +88,13 @@
   readonly relay: FeedRelay;
   readonly #options: ClusterStateOptions;
   readonly #databases = new Map<string, AnnouncedDatabase>();
-  readonly #drainNotices = new Map<string, DrainNotice>();
+  /** The last announcement of each database, also of those that are gone. */
+  readonly #lastAnnouncements = new LRUCache<string, LastAnnouncement>({
+    max: MAX_REMEMBERED_DATABASES,
+  });
+  readonly #drainNotices = new LRUCache<string, DrainNotice>({
+    max: MAX_REMEMBERED_DATABASES,
+  });
   /** Instances of other nodes that were listed when this one started, by node. */
   readonly #earlierProcesses = new Map<string, string>();
   #catalog: Catalog = EMPTY_CATALOG;
@@ -114,21 +146,43 @@
     return this.#earlierProcesses.size > 0;
   }
 
+  /**
+   * Learns what another node knows that is newer than a copy from which the
+   * store was restored. Ignores databases that the store does not list.
+   */
+  learn({events, asOf: {era}}: ChangeSet): void {
+    for (const {key, value, revision} of events) {
+      const change = {key, value, at: {era, revision}};
+      const decoded = this.#options.decode(change);
+      const isKnown =
+        decoded?.kind === 'catalog' ||
+        (decoded?.kind === 'database' && this.#databases.has(decoded.id));
+      if (isKnown) this.#applyAndRelay(change);
+    }
+  }
+
   #applyAndRelay(change: FeedChange): void {
-    if (this.#applyChange(change)) this.relay.recordChange(change);
+    const {key, at} = change;
+    const effect = this.#applyChange(change);
+    if (effect === 'new') return this.relay.recordChange(change);
+    // After a restore, other nodes list everything in the new era again.
+    const isRelayed = (this.relay.eraOf(key) ?? at.era) >= at.era;
+    if (effect === 'ignored' || isRelayed) return;
+    if (effect === 'unchanged') this.relay.recordChange(change);
+    else this.relay.keepValue(key, at);
   }
 
-  /** Applies a change; returns false if there is nothing new to relay. */
-  #applyChange(change: FeedChange): boolean {
+  #applyChange(change: FeedChange): ChangeEffect {
     const {key, value} = change;
     if (key.startsWith(MEMBER_PREFIX)) {
       this.#applyMember(key.slice(MEMBER_PREFIX.length), value);
-      return true;
+      return 'new';
     }
     const decoded = this.#options.decode(change);
     if (decoded?.kind === 'catalog') return this.#applyCatalog(decoded.catalog);
-    if (decoded?.kind === 'database') return this.#applyDatabase(decoded);
-    return false;
+    if (decoded?.kind === 'database')
+      return this.#applyDatabase(decoded, change.at);
+    return 'ignored';
   }
 
   #applyMember(id: string, value: string | undefined): void {
@@ -153,14 +207,16 @@
     }
   }
 
-  #applyCatalog(catalog: Catalog): boolean {
+  #applyCatalog(catalog: Catalog): ChangeEffect {
     if (catalog.version < this.#catalog.version) {
+      this.#options.metrics.recordRejectedValue('catalogVersion');
       this.#options.log.error('catalogVersionFell', {
         inForce: this.#catalog.version,
         offered: catalog.version,
       });
-      return false;
+      return 'rejected';
     }
+    if (catalog.version === this.#catalog.version) return 'unchanged';
     this.#catalog = catalog;
     const priorities = [...catalog.routes.values()].map(
       route => route.priority,
@@ -172,15 +228,20 @@
       teams: catalog.teams.size,
       keys: catalog.keys.size,
     });
-    return true;
+    return 'new';
   }
 
-  #applyDatabase({
-    id,
-    entry,
-  }: ClusterStateChange & {kind: 'database'}): boolean {
+  #applyDatabase(
+    {id, entry}: ClusterStateChange & {kind: 'database'},
+    at: StorePosition,
+  ): ChangeEffect {
+    if (!this.#recordAnnouncement(id, entry, at)) return 'rejected';
+    const known = this.#databases.get(id);
+    if (entry === undefined && known === undefined) return 'unchanged';
     // Databases renew their announcements every second, mostly unchanged.
-    if (isDeepStrictEqual(this.#databases.get(id), entry)) return false;
+    if (entry !== undefined && known !== undefined && isSame(known, entry)) {
+      return 'unchanged';
+    }
     this.#options.log.info('databaseAnnounced', {
       id,
       group: entry?.group,
@@ -193,14 +254,62 @@
     else this.#databases.set(id, entry);
     this.#recordDrain(id, entry);
     this.#options.onDatabase(id, entry);
+    return 'new';
+  }
+
+  /** Remembers an announcement; returns false if a later one is known. */
+  #recordAnnouncement(
+    id: string,
+    entry: AnnouncedDatabase | undefined,
+    at: StorePosition,
+  ): boolean {
+    const last = this.#lastAnnouncements.get(id);
+    if (entry === undefined) {
+      if (last !== undefined)
+        this.#lastAnnouncements.set(id, {...last, at, isGone: true});
+      return true;
+    }
+    const reason = last && findStaleReason(last, {entry, at});
+    if (last !== undefined && reason !== undefined) {
+      this.#logRejected(id, entry, reason);
+      this.#lastAnnouncements.set(id, {...last, refused: entry});
+      return false;
+    }
+    if (last?.entry.startedAt !== entry.startedAt)
+      this.#drainNotices.delete(id);
+    this.#lastAnnouncements.set(id, {entry, at, isGone: false});
     return true;
   }
 
+  #logRejected(
+    id: string,
+    offered: AnnouncedDatabase,
+    reason: StaleReason,
+  ): void {
+    const {log, metrics} = this.#options;
+    metrics.recordRejectedValue(reason);
+    log.warn('announcementRejected', {
+      id,
+      reason,
+      offered: offered.isDraining ? 'draining' : 'ready',
+      offeredSequence: offered.sequence,
+      keptSequence: this.#lastAnnouncements.get(id)?.entry.sequence,
+      isKnown: this.#databases.has(id),
+    });
+  }
+
   #recordDrain(id: string, entry: AnnouncedDatabase | undefined): void {
-    if (!entry?.isDraining) this.#drainNotices.delete(id);
+    // A notice outlives the entry, which may be missing for a while.
+    if (entry === undefined) return;
+    if (!entry.isDraining) this.#drainNotices.delete(id);
     else if (!this.#drainNotices.has(id)) {
       const learntAt = this.#options.clock.now();
       this.#drainNotices.set(id, {learntAt, copyAgeMs: this.feed.ageMs()});
     }
   }
 }
+
+/** Whether two announcements differ in nothing but their sequence. */
+function isSame(a: AnnouncedDatabase, b: AnnouncedDatabase): boolean {
+  return isDeepStrictEqual({...a, sequence: 0}, {...b, sequence: 0});
+}
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -5,7 +5,11 @@
 import {MemberLease} from '../fleet/member-lease.js';
 import {peerAddressOf} from '../fleet/member-list.js';
 import type {FleetMember} from '../fleet/member-record.js';
-import {RELAY_METHOD} from '../fleet/feed-relay.js';
+import {
+  decodeRelayReply,
+  encodeRelayRequest,
+  RELAY_METHOD,
+} from '../fleet/feed-relay.js';
 import {RelayedStore} from '../fleet/relayed-store.js';
 import type {FeedChange} from '../fleet/store-feed.js';
 import {FailoverLease, type FailoverOrders} from '../groups/failover-lease.js';
@@ -21,6 +25,7 @@
 import {StatementHomes} from '../home/statement-homes.js';
 import type {Priority} from '../home/types.js';
 import {SystemClock} from '../infra/clock.js';
+import {EraCheckedStore} from '../infra/era-checked-store.js';
 import type {LeasedStore} from '../infra/leased-store.js';
 import {PeerPool} from '../peers/peer-pool.js';
 import {PeerServer} from '../peers/peer-server.js';
@@ -50,6 +55,9 @@
 /** Maximum time that a starting node waits for the configuration. */
 const CATALOG_WAIT_MS = 1_500;
 const CATALOG_POLL_MS = 10;
+/** Nodes that a starting node asks for what a restored store may have lost. */
+const MAX_PEERS_ASKED = 3;
+const LEARN_TIMEOUT_MS = 300;
 /**
  * Time until a load balancer sends no new callers: two failed readiness probes,
  * one second apart.
@@ -119,6 +127,7 @@
   readonly #stopping = new AbortController();
   readonly #peers: PeerPool;
   readonly #peerServer: PeerServer;
+  readonly #store: EraCheckedStore;
   readonly #cluster: ClusterState;
   readonly #placement: WorkPlacement;
   readonly #lease: MemberLease;
@@ -128,11 +137,16 @@
   readonly #sessionContext: SessionContext;
   readonly #startedAt = this.#clock.now();
   #isLeaving = false;
+  /** Whether the node has asked others for what the store may have lost. */
+  #hasLearnt = false;
 
   constructor(options: StatementNodeOptions) {
-    const {id, host, log, store} = options;
+    const {id, host, log} = options;
     const clock = this.#clock;
     this.#options = options;
+    const {metrics} = this;
+    const store = new EraCheckedStore({store: options.store, log, metrics});
+    this.#store = store;
     // Every running call adds a listener; lifts the limit for the leak warning.
     setMaxListeners(0, this.#stopping.signal);
     this.#peers = new PeerPool({
@@ -151,6 +165,7 @@
         log,
         watchers: () => this.#placement.watchersToQuery(),
       }),
+      metrics,
       decode: options.decode,
       onDatabase: (database, entry) =>
         this.#homes.applyDatabase(database, entry),
@@ -167,6 +182,7 @@
       log,
       self: this.#createMember(),
       minTtlMs: options.minLeaseMs,
+      fleetSize: () => this.#cluster.members.live().length,
     });
     this.#budgets = new NodeBudgets({
       clock,
@@ -208,11 +224,9 @@
 
   /** True if the node is ready for new callers. */
   get isReady(): boolean {
-    return (
-      !this.#isLeaving &&
-      this.#hasFreshCopy &&
-      this.#cluster.catalog.version > 0
-    );
+    const isFresh = this.#hasFreshCopy;
+    const hasCatalog = this.#cluster.catalog.version > 0;
+    return !this.#isLeaving && this.#hasLearnt && isFresh && hasCatalog;
   }
 
   get #hasFreshCopy(): boolean {
@@ -232,6 +246,7 @@
     this.#homes.start();
     const {id, host, peerPort, dataCentre} = this.#options;
     await this.#waitForCatalog();
+    await this.#learnFromPeers();
     this.#options.log.info('nodeStarted', {
       id,
       host,
@@ -317,6 +332,36 @@
     }
   }
 
+  /**
+   * Asks other nodes for what they know, if the store was ever restored from a
+   * copy: the copy may be older than what they have seen.
+   */
+  async #learnFromPeers(): Promise<void> {
+    const {id, log} = this.#options;
+    const others = this.#cluster.members.live().filter(peer => peer.id !== id);
+    const peers = this.#store.era > 0 ? others.slice(0, MAX_PEERS_ASKED) : [];
+    const options = {timeoutMs: LEARN_TIMEOUT_MS};
+    await Promise.all(
+      peers.map(async peer => {
+        const address = peerAddressOf(peer);
+        try {
+          const reply = await this.#peers.call(
+            address,
+            RELAY_METHOD,
+            encodeRelayRequest(undefined),
+            options,
+          );
+          const changes = decodeRelayReply(reply);
+          if (changes !== undefined) this.#cluster.learn(changes);
+        } catch (err) {
+          // A node that has just started has nothing to tell either.
+          log.info('peerNotAsked', {peer: peer.id, message: String(err)});
+        }
+      }),
+    );
+    this.#hasLearnt = true;
+  }
+
   #createMember(): FleetMember {
     const {id, host, peerPort: port, dataCentre, cores} = this.#options;
     const instance = randomUUID().slice(0, 8);
@@ -324,8 +369,7 @@
   }
 
   #createHomes(): StatementHomes {
-    const {id, log, connector, orders, store, dataCentre, minLeaseMs} =
-      this.#options;
+    const {id, log, connector, orders, dataCentre, minLeaseMs} = this.#options;
     const clock = this.#clock;
     return new StatementHomes({
       clock,
@@ -338,7 +382,7 @@
       entries: () => this.#cluster.entries,
       quota: this.#budgets.holder,
       failoverLease: new FailoverLease({
-        store,
+        store: this.#store,
         clock,
         log,
         self: id,
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -3,6 +3,8 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {FailoverAttemptOutcome} from '../groups/failover-coordinator.js';
 import type {HomeMetrics} from '../home/home-metrics.js';
+import type {EraMetrics} from '../infra/era-checked-store.js';
+import type {RejectionMetrics} from '../node/cluster-state.js';
 
 /** Bucket bounds around the target response times of the routes. */
 const LATENCY_BUCKETS_S = [
@@ -40,12 +42,14 @@
  * const metrics = new NodeMetrics();
  * metrics.observe({group: 'claims', kind: 'read', outcome: 'done', elapsedMs: 7});
  */
-export class NodeMetrics implements HomeMetrics {
+export class NodeMetrics implements HomeMetrics, EraMetrics, RejectionMetrics {
   readonly #registry = new Registry();
   readonly #statements: Counter<'group' | 'kind' | 'outcome'>;
   readonly #latency: Histogram<'kind'>;
   readonly #failoverAttempts: Counter<'group' | 'outcome'>;
   readonly #drainAge: Histogram<'group'>;
+  readonly #storeEra: Gauge;
+  readonly #rejected: Counter<'reason'>;
 
   constructor() {
     const registers = [this.#registry];
@@ -75,6 +79,17 @@
       buckets: DRAIN_AGE_BUCKETS_S,
       registers,
     });
+    this.#storeEra = new Gauge({
+      name: 'zinnia_store_era',
+      help: 'How often the store was restored from a copy, by its last answer.',
+      registers,
+    });
+    this.#rejected = new Counter({
+      name: 'zinnia_store_rejected_total',
+      help: 'Answers and values of the store that were older than known ones.',
+      labelNames: ['reason'],
+      registers,
+    });
   }
 
   /** Counts a statement; records its latency only if its outcome is `done`. */
@@ -91,6 +106,20 @@
     this.#drainAge.observe({group}, ageMs / 1_000);
   }
 
+  recordEra(era: number): void {
+    this.#storeEra.set(era);
+  }
+
+  recordRejectedAnswer(): void {
+    this.#rejected.inc({reason: 'earlierEra'});
+  }
+
+  recordRejectedValue(
+    reason: Parameters<RejectionMetrics['recordRejectedValue']>[0],
+  ): void {
+    this.#rejected.inc({reason});
+  }
+
   /** Registers the gauges, which are read at each scrape. */
   registerGauges(gauges: NodeGauges): void {
     const add = (name: string, help: string, read: () => number) =>
--- a/test/statements/certified-reads.test.ts
+++ b/test/statements/certified-reads.test.ts
@@ -51,6 +51,7 @@
       slots: 2,
       isDraining: false,
       role: 'primary',
+      sequence: 1,
       startedAt: undefined,
     },
     {
