--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -92,6 +92,18 @@
     expect(output.join('')).toMatch(/^ {2}ip: is missing/m);
   });
 
+  it('reloads its settings while it starts', async () => {
+    platform.store.faults.silent = true;
+    const {child, output} = start();
+    const readiness = `http://127.0.0.1:${PORTS.ready}/readiness`;
+    await expect.poll(() => statusOf(readiness), {timeout: 10_000}).toBe(503);
+    child.kill('SIGHUP');
+    await waitUntil(() => output.join('').includes('settingsReloaded'));
+    platform.store.faults.silent = false;
+    child.kill('SIGTERM');
+    await once(child, 'exit');
+  });
+
   it('keeps its settings if reloaded ones are invalid', async () => {
     const {child, output} = start();
     await waitUntil(() => output.join('').includes('nodeStarted'));
