--- a/src/rollout/documents.ts
+++ b/src/rollout/documents.ts
@@ -56,11 +56,11 @@
     return this.#versions.get(name)?.revision ?? 0;
   }
 
-  /** The current revisions of all documents. */
+  /** The current revisions of all documents, by name. */
   digest(): DocumentDigest {
-    const entries = [...this.#versions.values()].map(
-      version => [version.name, version.revision] as const,
-    );
+    const entries = [...this.#versions.values()]
+      .map(version => [version.name, version.revision] as const)
+      .toSorted(([a], [b]) => (a < b ? -1 : 1));
     return Object.fromEntries(entries);
   }
 
--- a/test/rollout/dissemination-documents.test.ts
+++ b/test/rollout/dissemination-documents.test.ts
@@ -28,6 +28,18 @@
     );
   });
 
+  it('are listed by name, in whatever order they arrived', () => {
+    const documents = new Documents();
+    for (const name of ['zinnia/config', 'platform/vms', 'platform/groups']) {
+      documents.offer(name, 1, 'a');
+    }
+    expect(Object.keys(documents.digest())).toEqual([
+      'platform/groups',
+      'platform/vms',
+      'zinnia/config',
+    ]);
+  });
+
   it('stop notifying a removed listener', () => {
     const documents = new Documents();
     const seen: number[] = [];
