--- a/src/groups/failover-coordinator.ts
+++ b/src/groups/failover-coordinator.ts
@@ -142,7 +142,8 @@
   async #check(): Promise<void> {
     const {clock, databases, leadership, failoverLease, group} = this.#options;
     const isResponsible = this.#isResponsible();
-    if (isResponsible) await failoverLease.keep(group);
+    // Not awaited: a slow store must not delay the check of the primary.
+    if (isResponsible) void failoverLease.keep(group);
     const isActive = isResponsible || failoverLease.isHeld(group);
     const periodMs = isActive ? 0 : OBSERVER_PERIOD_MS;
     if (clock.now() - this.#checkedAt < periodMs) return;
--- a/src/groups/failover-lease.ts
+++ b/src/groups/failover-lease.ts
@@ -85,6 +85,8 @@
 export class FailoverLease {
   readonly #options: FailoverLeaseOptions;
   readonly #leases = new Map<string, StoreLease>();
+  /** Groups whose lease is being renewed. */
+  readonly #renewing = new Set<string>();
 
   constructor(options: FailoverLeaseOptions) {
     this.#options = options;
@@ -130,16 +132,23 @@
     const {store, clock, log} = this.#options;
     const lease = this.#leases.get(group);
     if (lease === undefined || !this.isHeld(group)) return;
-    if (elapsedSince(clock, lease.renewedAt) < RENEW_PERIOD_MS) return;
+    const isRecent = elapsedSince(clock, lease.renewedAt) < RENEW_PERIOD_MS;
+    if (isRecent || this.#renewing.has(group)) return;
+    this.#renewing.add(group);
     const renewedAt = takeInstant(clock);
     try {
       const {isAlive, era} = await store.renew(lease.id);
+      const current = this.#leases.get(group);
+      // An order may have taken another token, or another lease, meanwhile.
+      if (current?.id !== lease.id) return;
       if (isAlive && era === lease.era) {
-        this.#leases.set(group, {...lease, renewedAt});
+        this.#leases.set(group, {...current, renewedAt});
       } else this.#leases.delete(group);
     } catch (err) {
       // The next check tries again until the lease expires.
       log.info('dutyNotRenewed', {group, message: String(err)});
+    } finally {
+      this.#renewing.delete(group);
     }
   }
 
--- a/test/statements/failover-lease.test.ts
+++ b/test/statements/failover-lease.test.ts
@@ -60,6 +60,20 @@
     expect(a.isHeld(GROUP)).toBe(true);
   });
 
+  it('keeps the token of an order that was taken during a renewal', async () => {
+    const {clock, store, leaseOf} = createLeases();
+    const lease = leaseOf('a');
+    await lease.acquireToken(GROUP);
+    await clock.advance(FAILOVER_LEASE_TTL_MS / 2);
+    const renewal = lease.keep(GROUP);
+    const second = await lease.acquireToken(GROUP);
+    await renewal;
+    const swapsBefore = store.calls.get('swap');
+    expect(await lease.acquireToken(GROUP)).toBeGreaterThan(second!);
+    // The revision of the last write was known: no conflict, one call.
+    expect(store.calls.get('swap')).toBe(swapsBefore! + 1);
+  });
+
   it('takes a higher token for each order, also after it has expired', async () => {
     const {clock, leaseOf} = createLeases();
     const lease = leaseOf('a');
