--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -15,7 +15,8 @@
   type FleetNode,
   type NodeAddress,
 } from './fleet-members.js';
-import {findPorts, type FleetProcess} from './processes.js';
+import {findPorts} from './ports.js';
+import type {FleetProcess} from './processes.js';
 
 export {TARGET_PASSWORD, TARGET_USER, toVmRecord} from './fleet-members.js';
 export type {FleetDatabase, FleetNode} from './fleet-members.js';
--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -1,6 +1,5 @@
 /** Starts and stops child processes for the demo, benchmarks and fleet tests. */
 import {spawn, type ChildProcess} from 'node:child_process';
-import {createServer, type Server} from 'node:net';
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 
@@ -13,8 +12,6 @@
   'dist',
 );
 const START_TIMEOUT_MS = 20_000;
-const FIRST_PORT = 10_000;
-const PORT_COUNT = 20_000;
 
 /** Running child processes; killed when this process exits. */
 const runningChildren = new Set<ChildProcess>();
@@ -97,31 +94,3 @@
     await this.#exited;
   }
 }
-
-/**
- * Finds free ports on the loopback interface, below the ephemeral range: an
- * outgoing connection could take an ephemeral port before its process listens.
- */
-export async function findPorts(count: number): Promise<readonly number[]> {
-  const servers = new Map<number, Server>();
-  while (servers.size < count) {
-    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
-    const server = servers.has(port) ? undefined : await tryListen(port);
-    if (server !== undefined) servers.set(port, server);
-  }
-  await Promise.all(
-    [...servers.values()].map(
-      server => new Promise(resolve => server.close(resolve)),
-    ),
-  );
-  return [...servers.keys()];
-}
-
-/** Listens on the port; resolves to undefined if that fails. */
-function tryListen(port: number): Promise<Server | undefined> {
-  const server = createServer();
-  return new Promise(resolve => {
-    server.once('error', () => resolve(undefined));
-    server.listen(port, '127.0.0.1', () => resolve(server));
-  });
-}
--- a/test/docs/getting-started.test.ts
+++ b/test/docs/getting-started.test.ts
@@ -3,7 +3,8 @@
 import {join} from 'node:path';
 import pg from 'pg';
 import {afterEach, beforeEach, expect, test} from 'vitest';
-import {FleetProcess, findPorts} from '../../demo/processes.js';
+import {findPorts} from '../../demo/ports.js';
+import {FleetProcess} from '../../demo/processes.js';
 import {runCli} from '../cli/cli-fixture.js';
 import {readBlocks, readCommands} from './page-commands.js';
 
