--- a/src/groups/failover-coordinator.ts
+++ b/src/groups/failover-coordinator.ts
@@ -84,6 +84,7 @@
   readonly orders: FailoverOrders;
   /** The databases that the platform announces now. */
   readonly databases: () => readonly TrackedDatabase[];
+  /** Returns which node should replace the group's primary. */
   readonly responsibility: () => Responsibility;
   /** Whether this node's copy of the store is recent enough to act on. */
   readonly hasFreshCopy: () => boolean;
@@ -93,6 +94,7 @@
   readonly onUnreachable: (id: string) => void;
   /** Called when a promoted database has reported that it leads. */
   readonly onPromoted: (id: string) => void;
+  /** Called with the end of each attempt to replace the primary. */
   readonly recordAttempt: (outcome: FailoverAttemptOutcome) => void;
 }
 
--- a/src/groups/failover-lease.ts
+++ b/src/groups/failover-lease.ts
@@ -27,8 +27,8 @@
 
 const LEASE_KEY_PREFIX = 'zinnia/duties/failover/';
 /**
- * Time to live after an order or renewal. Longer than the promoted database may take to
- * lead, so that no other node orders another one meanwhile.
+ * Time to live after an order or renewal. Longer than a promoted database may
+ * take to lead, so that no other node promotes another one meanwhile.
  */
 export const FAILOVER_LEASE_TTL_MS = 3_000;
 /** Three renewals fit into the lease. */
@@ -219,7 +219,7 @@
   }
 }
 
-/** Revisions per era in the token; a store needs decades for as many. */
+/** Revisions per era that a token can hold. */
 const REVISIONS_PER_ERA = 2 ** 40;
 
 /**
--- a/src/home/statement-attempt.ts
+++ b/src/home/statement-attempt.ts
@@ -34,7 +34,7 @@
   readonly deadlineAt: number;
 }
 
-/** Returns whether a database may get new statements: not late in its drain. */
+/** Returns whether a database may get new statements, by its drain time. */
 export function acceptsWork(
   {clock, drainNoticeOf, drainMs}: HomeContext,
   databaseId: string,
@@ -45,7 +45,8 @@
 
 /**
  * Requests a slot for a statement outside an open transaction; queues until
- * `queueUntil` or the deadline at most. Refuses a database whose drain ends.
+ * `queueUntil` or the deadline at most. Refused if the database gets no new
+ * statements any more.
  */
 export async function acquireSlot(
   ctx: HomeContext,
