--- a/src/fleet/member-lease.ts
+++ b/src/fleet/member-lease.ts
@@ -63,11 +63,6 @@
     this.#self = options.self;
   }
 
-  /** The lease's id, for other keys attached to it; undefined unless it is held. */
-  get id(): string | undefined {
-    return this.isHeld ? this.#lease : undefined;
-  }
-
   /** Whether the lease is certainly valid now. Don't cache it. */
   get isHeld(): boolean {
     if (this.#renewedAt === undefined || this.#lease === undefined)
