--- a/standins/lines/database.ts
+++ b/standins/lines/database.ts
@@ -23,6 +23,8 @@
   readonly connection: number;
   /** Session variables of its connection as `name=value` pairs. */
   readonly values: string;
+  /** When it ran, in Unix milliseconds. */
+  readonly at: number;
 }
 
 /** Settings of a database. */
@@ -249,11 +251,11 @@
       case 'PREPARE':
         connection.prepared.set(first, rest.join(' '));
         return 'DONE -';
-      case 'STATUS': {
-        const role = this.#isPrimary ? 'primary' : 'replica';
-        const {term} = this;
-        return `ROW ${role} ${term} ${this.#position} ${term} 0 0 1\r\nDONE -`;
-      }
+      case 'STATUS':
+        return this.#status();
+      case 'STEPDOWN':
+        if (Number(first) > this.term) this.becomeReplica();
+        return this.#status();
       case 'EXECUTE': {
         const access = connection.prepared.get(first)?.split(' ')[0];
         if (access === undefined) return this.#fail(connection, 'NOSTMT');
@@ -264,6 +266,12 @@
     }
   }
 
+  #status(): string {
+    const role = this.#isPrimary ? 'primary' : 'replica';
+    const {term} = this;
+    return `ROW ${role} ${term} ${this.#position} ${term} 0 0 1\r\nDONE -`;
+  }
+
   #runAccess(
     connection: Connection,
     id: string,
@@ -286,6 +294,7 @@
       transaction: connection.transaction,
       connection: connection.number,
       values: [...connection.values].map(pair => pair.join('=')).join(','),
+      at: Date.now(),
     });
     if (access === 'READ') {
       return `ROW ${this.latestValueOf(item)}\r\nDONE ${this.id}.${id}`;
--- /dev/null
+++ b/test/platform/old-primary.test.ts
@@ -0,0 +1,77 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import type {LineClient} from './line-client.js';
+import {Platform, sleep, waitUntil} from './fixture.js';
+
+/** Time from an order to its effect, in which another home opens. */
+const PROMOTE_MS = 1_200;
+/** Long enough that the old primary serves until its successor does. */
+const DRAIN_MS = 10_000;
+/** Load after the promotion took effect. */
+const AFTER_EFFECT_MS = 1_500;
+
+let platform: Platform;
+afterEach(() => platform.stop());
+
+/** Sends writes until `isOver`; collects the signatures of the answered ones. */
+async function writeUntil(
+  isOver: () => boolean,
+  client: LineClient,
+  signatures: string[],
+): Promise<void> {
+  for (let n = 0; !isOver(); n++) {
+    const {end} = await client.query(`WRITE a ${n}`).catch(connectionClosed);
+    if (end.startsWith('DONE')) signatures.push(end.slice('DONE '.length));
+    await sleep(10);
+  }
+}
+
+function connectionClosed(): {readonly end: string} {
+  return {end: 'the connection is closed'};
+}
+
+/** Answered writes that an older primary ran after a promotion took effect. */
+function writesAfterPromotion(signatures: readonly string[]): string[] {
+  const effectAt = platform.group.promotedAt.at(-1) ?? Infinity;
+  const leader = platform.group.newestPrimary;
+  return platform.group.databases
+    .filter(database => database !== leader)
+    .flatMap(({id, runs}) =>
+      runs
+        .filter(({text, at}) => text.startsWith('WRITE') && at > effectAt)
+        .map(run => `${id}.${run.id}`),
+    )
+    .filter(signature => signatures.includes(signature));
+}
+
+describe('an old primary that goes on after a promotion', () => {
+  it('gets no write of a home that opens after the node that ordered was killed', async () => {
+    platform = await Platform.start(3, {
+      promoteMs: PROMOTE_MS,
+      oldPrimaryGoesOn: true,
+      drainMs: DRAIN_MS,
+    });
+    const orderers: string[] = [];
+    platform.onOrder = holder => {
+      if (orderers.push(holder) > 1) return;
+      const orderer = platform.nodes.find(({id}) => id === holder);
+      void orderer?.kill();
+    };
+    const signatures: string[] = [];
+    let isOver = false;
+    const clients = await Promise.all(
+      [0, 1, 2].map(at => platform.session('now red-key', at)),
+    );
+    const load = clients.map(client =>
+      writeUntil(() => isOver, client, signatures),
+    );
+    await sleep(200);
+    platform.drain(platform.group.primary);
+    await waitUntil(() => platform.group.promotedAt.length > 0);
+    await sleep(AFTER_EFFECT_MS);
+    isOver = true;
+    await Promise.all(load);
+    expect(writesAfterPromotion(signatures)).toEqual([]);
+    const {id} = platform.group.newestPrimary;
+    expect(signatures.some(signature => signature.startsWith(id))).toBe(true);
+  });
+});
