--- a/demo/ports.ts
+++ b/demo/ports.ts
@@ -1,9 +1,7 @@
 /** Ports for the processes and nodes that demos, benchmarks and tests start. */
-import {mkdirSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
-import {createServer} from 'node:net';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
+import {createServer, type Server} from 'node:net';
 
+const HOST = '127.0.0.1';
 /**
  * All ports lie below the ephemeral range: an outgoing connection could take an
  * ephemeral port before its process listens.
@@ -11,10 +9,9 @@
 const FIRST_PORT = 10_000;
 const PORTS_PER_BLOCK = 400;
 const BLOCKS = 50;
-const CLAIMS = join(tmpdir(), 'zinnia-ports');
-const OWNER_FILE = 'pid';
 
-let block: number | undefined;
+/** First port of the block of this process. */
+let block: Promise<number> | undefined;
 let used = 0;
 
 /**
@@ -25,63 +22,49 @@
  */
 export async function findPorts(count: number): Promise<readonly number[]> {
   block ??= claimBlock();
+  const firstPort = await block;
   const ports: number[] = [];
   for (let tries = 0; ports.length < count; tries++) {
     if (tries > PORTS_PER_BLOCK) {
       throw new Error(`only ${ports.length} of ${count} ports are free`);
     }
-    const port = FIRST_PORT + block * PORTS_PER_BLOCK + used;
-    used = (used + 1) % PORTS_PER_BLOCK;
+    // The first one holds the claim.
+    const port = firstPort + 1 + used;
+    used = (used + 1) % (PORTS_PER_BLOCK - 1);
     if (await isFree(port)) ports.push(port);
   }
   return ports;
 }
 
-/** Claims a block by creating its directory, which only one process can. */
-function claimBlock(): number {
-  mkdirSync(CLAIMS, {recursive: true});
+/**
+ * Claims a block by listening on its first port, which only one process can and
+ * which ends with the process, however that ends.
+ */
+async function claimBlock(): Promise<number> {
   for (let n = 0; n < BLOCKS; n++) {
-    const claim = join(CLAIMS, String(n));
-    removeStale(claim);
-    try {
-      mkdirSync(claim);
-    } catch {
-      continue;
-    }
-    writeFileSync(join(claim, OWNER_FILE), String(process.pid));
-    process.once('exit', () => rmSync(claim, {recursive: true, force: true}));
-    return n;
+    const firstPort = FIRST_PORT + n * PORTS_PER_BLOCK;
+    const claim = await listen(firstPort);
+    if (claim === undefined) continue;
+    claim.unref();
+    return firstPort;
   }
   throw new Error(
-    `all blocks of ports are in use; remove stale ones in ${CLAIMS}`,
+    'all blocks of ports are in use; end a process that uses one',
   );
 }
 
-/** Removes the claim of a process that ended without removing it. */
-function removeStale(claim: string): void {
-  let owner: number;
-  try {
-    owner = Number(readFileSync(join(claim, OWNER_FILE), 'utf8'));
-  } catch {
-    // Not claimed, or its owner is about to write the file.
-    return;
-  }
-  if (owner > 0 && !isRunning(owner)) rmSync(claim, {recursive: true});
-}
-
-function isRunning(pid: number): boolean {
-  try {
-    process.kill(pid, 0);
-    return true;
-  } catch (err) {
-    return (err as NodeJS.ErrnoException).code === 'EPERM';
-  }
+async function isFree(port: number): Promise<boolean> {
+  const server = await listen(port);
+  if (server === undefined) return false;
+  await new Promise(resolve => server.close(resolve));
+  return true;
 }
 
-function isFree(port: number): Promise<boolean> {
+/** Listens on a port; undefined if it is in use. */
+function listen(port: number): Promise<Server | undefined> {
   const server = createServer();
   return new Promise(resolve => {
-    server.once('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+    server.once('error', () => resolve(undefined));
+    server.listen(port, HOST, () => resolve(server));
   });
 }
--- a/test/demo/ports.test.ts
+++ b/test/demo/ports.test.ts
@@ -1,4 +1,4 @@
-import {execFileSync} from 'node:child_process';
+import {execFileSync, spawn} from 'node:child_process';
 import {resolve} from 'node:path';
 import {pathToFileURL} from 'node:url';
 import {expect, test} from 'vitest';
@@ -15,6 +15,31 @@
   return JSON.parse(output.toString()) as readonly number[];
 }
 
+const PROCESSES = 12;
+const ROUNDS = 3;
+
+/** Finds ports in a process that goes on for a while. */
+function findPortsBeside(): Promise<string> {
+  const script = `import(${JSON.stringify(COMPILED)})
+    .then(({findPorts}) => findPorts(${COUNT}))
+    .then(ports => console.log(JSON.stringify(ports)))
+    .then(() => new Promise(done => setTimeout(done, 1_000)));`;
+  const child = spawn(process.execPath, ['--eval', script]);
+  let output = '';
+  child.stdout.on('data', chunk => (output += String(chunk)));
+  return new Promise(done => child.once('close', () => done(output)));
+}
+
+test('processes that start together just after others ended share no ports', async () => {
+  for (let round = 0; round < ROUNDS; round++) {
+    const outputs = await Promise.all(
+      Array.from({length: PROCESSES}, findPortsBeside),
+    );
+    const all = outputs.flatMap(text => JSON.parse(text) as readonly number[]);
+    expect(new Set(all).size).toBe(PROCESSES * COUNT);
+  }
+}, 30_000);
+
 test('ports that no process listens on yet are given to no other process', async () => {
   const [first, second] = [await findPorts(COUNT), await findPorts(COUNT)];
   const other = findPortsInAnotherProcess();
