--- a/src/quota/budget-holder.ts
+++ b/src/quota/budget-holder.ts
@@ -152,8 +152,10 @@
 
   async #exchangeWithOwner(team: string, held: TeamState): Promise<void> {
     const {clock, log, requestTokens} = this.#options;
+    // Operations that join while the request is under way are not in the reply.
+    const counted = held.waiting;
     const wanted = Math.ceil(
-      Math.max(0, this.#prefetchTokens(held) - held.tokens) + held.waiting,
+      Math.max(0, this.#prefetchTokens(held) - held.tokens) + counted,
     );
     let reply: TokenReply;
     const sentAtMs = clock.now();
@@ -175,7 +177,7 @@
     if (sentAtMs - held.grantedAtMs > GRANT_VALID_MS) held.tokens = 0;
     held.tokens += reply.tokens;
     if (reply.tokens > 0) held.grantedAtMs = sentAtMs;
-    const isShort = reply.tokens < held.waiting;
+    const isShort = reply.tokens < counted;
     held.refusedUntilMs = isShort ? clock.now() + reply.retryAfterMs : 0;
   }
 
