--- a/src/groups/failover-coordinator.ts
+++ b/src/groups/failover-coordinator.ts
@@ -1,7 +1,6 @@
 /** Coordinates failovers and planned changes of a group's primary. */
 import type {Clock} from '../infra/clock.js';
-import {sleepToTick} from '../infra/timer.js';
-import {comparePositions, type Position} from '../session/position.js';
+import {runAtTicks, sleepToTick} from '../infra/timer.js';
 import type {DatabaseState} from '../statements/types.js';
 import type {Logger} from '../telemetry/log.js';
 import type {
@@ -10,6 +9,19 @@
   OrderOutcome,
 } from './failover-lease.js';
 import type {Leadership} from './leadership.js';
+import {
+  PrimaryDeposition,
+  type DepositionOutcome,
+} from './primary-deposition.js';
+import type {HandoverPort} from './primary-handover.js';
+import type {PrimaryOrder} from './primary-order.js';
+import {
+  mostAdvanced,
+  StateQueries,
+  visibleLogEnds,
+  type LogEnd,
+  type TrackedDatabase,
+} from './tracked-database.js';
 
 const CHECK_PERIOD_MS = 100;
 /** Check period on nodes that are not responsible for the group. */
@@ -28,30 +40,12 @@
  */
 const TAKEOVER_TIMEOUT_MS = 2_500;
 const TAKEOVER_POLL_MS = 50;
-/** How long a replica may take to catch up in a planned change. */
-const CATCH_UP_TIMEOUT_MS = 1_500;
-const CATCH_UP_POLL_MS = 20;
-/** Time allowed for all candidates to report their state. */
-const STATE_QUERY_TIMEOUT_MS = 400;
-/** Pause before a database that was too busy or failed is queried again. */
-const BUSY_RETRY_PAUSE_MS = 20;
-
-/** A database as the coordinator sees it. */
-export interface TrackedDatabase {
-  readonly id: string;
-  /** Whether it is draining, before it leaves the group. */
-  readonly isDraining: boolean;
-  /** Whether it is suspected to be down and should be probed. */
-  readonly isSuspect: boolean;
-  /** The last log position reported in its answers. */
-  readonly visiblePosition: Position | undefined;
-  /**
-   * Queries its state over a new connection; undefined while it is too busy.
-   */
-  queryState(): Promise<DatabaseState | undefined>;
-  /** The same over an open connection, or over a new one if none is open. */
-  queryStateOnOpenConnection(): Promise<DatabaseState | undefined>;
-}
+/** Least time between the starts of two attempts to replace the primary. */
+const ATTEMPT_RETRY_MS = 300;
+/** Period at which the failover lease is kept during an attempt. */
+const KEEP_PERIOD_MS = 500;
+/** How long a node is responsible before it acquires the right unasked. */
+const SETTLED_MS = 2_000;
 
 /** Which node should replace a group's primary, and what that follows from. */
 export interface Responsibility {
@@ -67,7 +61,10 @@
 
 /** How an attempt to replace a primary ended. */
 export type FailoverAttemptOutcome =
-  OrderOutcome['kind'] | 'leaseNotHeld' | 'noCandidate';
+  | OrderOutcome['kind']
+  | Exclude<DepositionOutcome, 'deposed'>
+  | 'leaseNotHeld'
+  | 'noCandidate';
 
 /** Options of {@link FailoverCoordinator}. */
 export interface FailoverCoordinatorOptions {
@@ -82,6 +79,9 @@
     'acquireToken' | 'isHeld' | 'keep' | 'release'
   >;
   readonly orders: FailoverOrders;
+  readonly handover: HandoverPort;
+  /** Acquires this node's right to the primary, unless it holds it. */
+  readonly acquireRight: () => Promise<boolean>;
   /** The databases that the platform announces now. */
   readonly databases: () => readonly TrackedDatabase[];
   /** Returns which node should replace the group's primary. */
@@ -98,6 +98,14 @@
   readonly recordAttempt: (outcome: FailoverAttemptOutcome) => void;
 }
 
+/** The databases that may replace the primary, and what they report. */
+interface Candidates {
+  readonly asked: readonly TrackedDatabase[];
+  /** Those that don't drain. */
+  readonly staying: readonly TrackedDatabase[];
+  readonly states: ReadonlyMap<string, DatabaseState>;
+}
+
 /** Why the primary is replaced. */
 type ChangeCause = 'noPrimary' | 'unreachable' | 'draining' | 'gone';
 
@@ -118,9 +126,16 @@
   #isReplacingPrimary = false;
   #checkedAt = -Infinity;
   #responsibleNode: string | undefined;
+  #responsibleSince: number | undefined;
+  /** Earliest time of the next attempt to replace the primary. */
+  #retryAt = -Infinity;
+  readonly #states: StateQueries;
+  readonly #deposition: PrimaryDeposition;
 
   constructor(options: FailoverCoordinatorOptions) {
     this.#options = options;
+    this.#states = new StateQueries(options);
+    this.#deposition = new PrimaryDeposition(options);
   }
 
   /** Whether the primary is being replaced. */
@@ -131,6 +146,8 @@
   /** Monitors the group until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const {clock, log, group} = this.#options;
+    const stop = () => this.#deposition.stop();
+    signal.addEventListener('abort', stop, {once: true});
     while (!signal.aborted) {
       try {
         await this.#check();
@@ -146,14 +163,21 @@
     const isResponsible = this.#isResponsible();
     // Not awaited: a slow store must not delay the check of the primary.
     if (isResponsible) void failoverLease.keep(group);
-    const isActive = isResponsible || failoverLease.isHeld(group);
+    this.#acquireRightEarly(isResponsible);
+    const isActive =
+      isResponsible ||
+      failoverLease.isHeld(group) ||
+      leadership.orderedId !== undefined;
     const periodMs = isActive ? 0 : OBSERVER_PERIOD_MS;
     if (clock.now() - this.#checkedAt < periodMs) return;
     this.#checkedAt = clock.now();
     if (databases().length === 0) return;
-    if (leadership.isContested) await this.#queryStates(databases());
+    if (leadership.isContested) await this.#states.queryAll(databases());
+    await this.#queryOrdered();
     const cause = await this.#findCause();
     if (cause === undefined || !this.#mayReplacePrimary(cause)) return;
+    if (clock.now() < this.#retryAt) return;
+    this.#retryAt = clock.now() + ATTEMPT_RETRY_MS;
     this.#isReplacingPrimary = true;
     try {
       await this.#replacePrimary(cause);
@@ -162,6 +186,29 @@
     }
   }
 
+  /**
+   * Acquires the right before the first statement needs it. Waits until the
+   * members are known, as nodes that start together first take themselves for
+   * responsible.
+   */
+  #acquireRightEarly(isResponsible: boolean): void {
+    const {clock, acquireRight} = this.#options;
+    if (!isResponsible) {
+      this.#responsibleSince = undefined;
+      return;
+    }
+    this.#responsibleSince ??= clock.now();
+    if (clock.now() - this.#responsibleSince >= SETTLED_MS) void acquireRight();
+  }
+
+  /** Asks the database of an order that is under way whether it leads. */
+  async #queryOrdered(): Promise<void> {
+    const {databases, leadership} = this.#options;
+    const {orderedId} = leadership;
+    const ordered = databases().find(({id}) => id === orderedId);
+    if (ordered !== undefined) await this.#states.queryAll([ordered]);
+  }
+
   /**
    * Whether this node replaces the primary. The responsible node may not be able
    * to at once: the home moves with the primary, and its new node has to wait
@@ -201,7 +248,7 @@
       this.#leaderlessSince ??= clock.now();
       if (clock.now() - this.#leaderlessSince < LEADERLESS_LIMIT_MS)
         return undefined;
-      await this.#queryStates(databases());
+      await this.#states.queryAll(databases());
       return leadership.leaderId === undefined ? 'noPrimary' : undefined;
     }
     this.#leaderlessSince = undefined;
@@ -233,96 +280,114 @@
   }
 
   async #replacePrimary(cause: ChangeCause): Promise<void> {
-    const {log, group, leadership, databases, failoverLease, recordAttempt} =
+    const {log, group, leadership, failoverLease, recordAttempt} =
       this.#options;
     const oldId = leadership.leaderId;
-    const candidates = databases().filter(
-      ({id, isDraining}) => id !== oldId && !isDraining,
-    );
-    const others = databases().filter(({id}) => id !== oldId);
-    // Two draining databases would replace each other until one is gone.
-    const isLastResort = candidates.length === 0 && cause !== 'draining';
-    const asked = isLastResort ? others : candidates;
-    const states = await this.#queryStates(asked);
+    const candidates = await this.#queryCandidates(oldId, cause);
     // The queries may have shown that another database leads already.
     if (leadership.leaderId !== oldId) return;
-    const received = [...states].map(([id, state]): LogEnd => [
-      id,
-      state.received,
-    ]);
-    // If no database reported its state, those that were too busy to but still
-    // answer requests are candidates.
-    const chosen =
-      mostAdvanced(received) ?? mostAdvanced(visibleLogEnds(candidates));
+    const chosen = chooseCandidate(candidates, leadership.orderedId);
+    const {asked, states} = candidates;
     if (chosen === undefined) {
       log.warn('noDatabaseToPromote', {group, cause, asked: asked.length});
       recordAttempt('noCandidate');
       // Another node may reach a candidate.
       return failoverLease.release(group);
     }
+    const answered = states.size;
     log.info('primaryChangeNeeded', {
       group,
       cause,
       old: oldId,
       chosen,
-      answered: states.size,
+      answered,
     });
     // Acquired before writes are held: a node that may not order must not delay
     // them.
     const token = await failoverLease.acquireToken(group);
     if (token === undefined) return recordAttempt('leaseNotHeld');
-    const release =
-      cause === 'draining' ? await this.#catchUp(oldId, chosen) : () => {};
+    const done = new AbortController();
+    void runAtTicks(this.#options.clock, KEEP_PERIOD_MS, done.signal, () => {
+      void failoverLease.keep(group);
+    });
     try {
-      await this.#promote(chosen, token);
+      const {term, isOldLine} = this.#nextTerm(chosen, states);
+      if (isOldLine && !(await this.#deposition.stepDown(chosen, term))) return;
+      const order: PrimaryOrder = {
+        databaseId: chosen,
+        term,
+        wasReplica: isOldLine || states.get(chosen)?.role !== 'primary',
+        token,
+        orderer: this.#options.self,
+      };
+      await this.#carryOut(order, oldId, cause);
     } finally {
-      release();
+      done.abort();
     }
   }
 
+  /** Queries the databases that may replace the primary. */
+  async #queryCandidates(
+    oldId: string | undefined,
+    cause: ChangeCause,
+  ): Promise<Candidates> {
+    const databases = this.#options.databases();
+    const others = databases.filter(({id}) => id !== oldId);
+    const staying = others.filter(({isDraining}) => !isDraining);
+    // Two draining databases would replace each other until one is gone.
+    const isLastResort = staying.length === 0 && cause !== 'draining';
+    const asked = isLastResort ? others : staying;
+    return {asked, staying, states: await this.#states.queryAll(asked)};
+  }
+
   /**
-   * Holds writes and waits until the chosen replica's log covers the primary's.
-   * Returns the function that releases the writes.
+   * Returns the term that the chosen database leads once its promotion took
+   * effect, and whether it still leads the term before an order that is under
+   * way: it must step down first, or its present lead would pass for that of the
+   * promotion.
    */
-  async #catchUp(
+  #nextTerm(
+    chosen: string,
+    states: ReadonlyMap<string, DatabaseState>,
+  ): {readonly term: number; readonly isOldLine: boolean} {
+    const {leadership} = this.#options;
+    const state = states.get(chosen);
+    const isLeading = state?.role === 'primary';
+    const {orderedId} = leadership;
+    const isOldLine =
+      isLeading && orderedId !== undefined && orderedId !== chosen;
+    if (isLeading && !isOldLine) return {term: state.term, isOldLine};
+    const terms = [...states.values()].flatMap(({term, received}) => [
+      term,
+      received.term,
+    ]);
+    return {term: Math.max(leadership.highestTerm, ...terms) + 1, isOldLine};
+  }
+
+  /** Deposes the old primary and promotes the database of the order. */
+  async #carryOut(
+    order: PrimaryOrder,
     oldId: string | undefined,
-    chosenId: string,
-  ): Promise<() => void> {
-    const {clock, holdWrites, databases, log, group} = this.#options;
-    const old = databases().find(({id}) => id === oldId);
-    const chosen = databases().find(({id}) => id === chosenId);
-    const release = await holdWrites();
-    const until = clock.now() + CATCH_UP_TIMEOUT_MS;
+    cause: ChangeCause,
+  ): Promise<void> {
+    const {holdWrites, recordAttempt} = this.#options;
+    const release = cause === 'draining' ? await holdWrites() : () => {};
     try {
-      const wanted = (await old?.queryStateOnOpenConnection())?.received;
-      while (wanted !== undefined && clock.now() < until) {
-        const chosenPosition = (await chosen?.queryStateOnOpenConnection())
-          ?.received;
-        if (
-          chosenPosition !== undefined &&
-          comparePositions(chosenPosition, wanted) >= 0
-        )
-          break;
-        await clock.sleep(CATCH_UP_POLL_MS);
-      }
-    } catch (err) {
-      log.warn('catchUpNotConfirmed', {
-        group,
-        chosen: chosenId,
-        message: String(err),
-      });
+      const outcome = await this.#deposition.depose(oldId, order);
+      if (outcome !== 'deposed') return recordAttempt(outcome);
+      if (cause === 'draining')
+        await this.#deposition.catchUp(oldId, order.databaseId);
+      await this.#promote(order);
+    } finally {
+      release();
     }
-    return release;
   }
 
-  async #promote(databaseId: string, acquired: number): Promise<void> {
+  async #promote({databaseId, token}: PrimaryOrder): Promise<void> {
     const {failoverLease, orders, group, self, log, recordAttempt} =
       this.#options;
-    // The lease may have expired while writes were held.
-    const token = failoverLease.isHeld(group)
-      ? acquired
-      : await failoverLease.acquireToken(group);
-    if (token === undefined) return recordAttempt('leaseNotHeld');
+    // It may have expired while the replica caught up, or in a pause of the VM.
+    if (!failoverLease.isHeld(group)) return recordAttempt('leaseNotHeld');
     const outcome = await orders.promote({
       group,
       databaseId,
@@ -370,69 +435,21 @@
     }
     log.warn('promotionNotSeen', {group, database: databaseId});
   }
-
-  /**
-   * Queries a database's state, with retries; undefined if none came in time.
-   */
-  async #queryStateUntil(
-    database: TrackedDatabase,
-    until: number,
-  ): Promise<DatabaseState | undefined> {
-    const {clock, log, group} = this.#options;
-    while (clock.now() < until) {
-      try {
-        const state = await database.queryStateOnOpenConnection();
-        if (state !== undefined) return state;
-      } catch (err) {
-        log.info('stateQueryFailed', {
-          group,
-          database: database.id,
-          message: err instanceof Error ? err.message : String(err),
-        });
-      }
-      await clock.sleep(BUSY_RETRY_PAUSE_MS);
-    }
-    return undefined;
-  }
-
-  /** Queries all databases; returns the states of those that answer in time. */
-  async #queryStates(
-    databases: readonly TrackedDatabase[],
-  ): Promise<ReadonlyMap<string, DatabaseState>> {
-    const {clock, leadership} = this.#options;
-    const states = new Map<string, DatabaseState>();
-    const until = clock.now() + STATE_QUERY_TIMEOUT_MS;
-    const queries = databases.map(async database => {
-      const requestedAt = clock.now();
-      const state = await this.#queryStateUntil(database, until);
-      if (state === undefined) return;
-      states.set(database.id, state);
-      leadership.recordState(database.id, state, requestedAt);
-    });
-    const done = new AbortController();
-    await Promise.race([
-      Promise.all(queries),
-      clock.sleep(STATE_QUERY_TIMEOUT_MS, done.signal),
-    ]);
-    done.abort();
-    return states;
-  }
-}
-
-/** A database id and the last known position of its log. */
-type LogEnd = readonly [id: string, position: Position];
-
-function mostAdvanced(logEnds: readonly LogEnd[]): string | undefined {
-  const [best] = logEnds.toSorted(([, a], [, b]) => comparePositions(b, a));
-  return best?.[0];
 }
 
-/** The last reported positions of the databases that are not suspected. */
-function visibleLogEnds(
-  databases: readonly TrackedDatabase[],
-): readonly LogEnd[] {
-  return databases.flatMap(
-    ({id, isSuspect, visiblePosition}): readonly LogEnd[] =>
-      isSuspect || visiblePosition === undefined ? [] : [[id, visiblePosition]],
-  );
+/**
+ * Chooses the most advanced candidate. If none reported its state, those that
+ * were too busy to but still answer requests count. The database of an order that
+ * is under way goes first: without an answer, that order may still be carried out.
+ */
+function chooseCandidate(
+  {staying, states}: Candidates,
+  orderedId: string | undefined,
+): string | undefined {
+  if (orderedId !== undefined && states.has(orderedId)) return orderedId;
+  const received = [...states].map(([id, state]): LogEnd => [
+    id,
+    state.received,
+  ]);
+  return mostAdvanced(received) ?? mostAdvanced(visibleLogEnds(staying));
 }
--- a/src/groups/leadership.ts
+++ b/src/groups/leadership.ts
@@ -1,8 +1,9 @@
 /**
- * Tracks which database leads a group, from the databases' answers and from
- * the platform's announcements of their roles.
+ * Tracks which database leads a group, from the databases' answers, from the
+ * platform's announcements of their roles and from the latest promotion order.
  */
 import type {DatabaseState} from '../statements/types.js';
+import type {PrimaryOrder} from './primary-order.js';
 
 /** Maximum delay between an announcement and its arrival at a node. */
 const MAX_ANNOUNCEMENT_DELAY_MS = 1_000;
@@ -31,6 +32,10 @@
  * primary's log ends in the old term until its first commit, and the old
  * primary may never report that it was replaced.
  *
+ * From a promotion order on, only the ordered database leads, once it has
+ * reported that the order took effect. A claim of another database counts
+ * if its term is higher still, since only a later promotion can have raised it.
+ *
  * All times are in milliseconds on the node's monotonic clock.
  *
  * @example
@@ -43,6 +48,7 @@
   readonly #announced = new Map<string, string>();
   readonly #onChange: (leader: LeaderBasis | undefined) => void;
   #leaderId: string | undefined;
+  #order: PrimaryOrder | undefined;
 
   /** `onChange` is called whenever another database or none leads. */
   constructor(onChange: (leader: LeaderBasis | undefined) => void = () => {}) {
@@ -56,9 +62,30 @@
     return this.#leaderId;
   }
 
+  /**
+   * The database of the latest order while it does not lead; undefined if there
+   * is no order, or another database leads by a later term.
+   */
+  get orderedId(): string | undefined {
+    return this.#leaderId === undefined ? this.#order?.databaseId : undefined;
+  }
+
+  /** The highest term that any database is known to lead. */
+  get highestTerm(): number {
+    return Math.max(0, ...[...this.#claims.values()].map(claim => claim.term));
+  }
+
+  /** Records the latest promotion order. */
+  recordOrder(order: PrimaryOrder): void {
+    this.#order = order;
+    this.#updateLeader();
+  }
+
   /** Whether several databases claim to lead and no claim is the strongest. */
   get isContested(): boolean {
-    const leading = [...this.#claims.values()].filter(({leads}) => leads);
+    const leading = [...this.#claims].filter(
+      ([id, {leads, term}]) => leads && this.#isAllowed(id, term),
+    );
     return leading.length > 1 && this.#leaderId === undefined;
   }
 
@@ -79,7 +106,7 @@
     // A replica announced as primary was promoted after the other databases'
     // proofs, so its claim gets the highest term.
     const isPromoted = before === 'replica';
-    const term = isPromoted ? this.#highestTerm : 0;
+    const term = isPromoted ? this.highestTerm : 0;
     this.#set(id, {
       leads: true,
       term,
@@ -113,7 +140,11 @@
     {role, term}: DatabaseState,
     requestedAt: number,
   ): void {
-    if (role === 'primary') this.recordProof(id, term, requestedAt);
+    const order = this.#order;
+    const isPromoted = order?.databaseId === id && order.wasReplica;
+    const leastTerm = isPromoted ? order.term : 0;
+    if (role === 'primary')
+      this.recordProof(id, Math.max(term, leastTerm), requestedAt);
     else this.#set(id, FOLLOWER_CLAIM);
   }
 
@@ -129,13 +160,16 @@
     this.#updateLeader();
   }
 
-  get #highestTerm(): number {
-    return Math.max(0, ...[...this.#claims.values()].map(claim => claim.term));
+  /** Whether a claim can stand beside the latest order. */
+  #isAllowed(id: string, term: number): boolean {
+    const order = this.#order;
+    if (order === undefined) return true;
+    return id === order.databaseId ? term >= order.term : term > order.term;
   }
 
   #updateLeader(): void {
     const leading = [...this.#claims]
-      .filter(([, {leads}]) => leads)
+      .filter(([id, {leads, term}]) => leads && this.#isAllowed(id, term))
       .toSorted(([, a], [, b]) => compareClaims(a, b));
     const [first, second] = leading;
     const isTied =
--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -10,6 +10,9 @@
   type AnnouncedDatabase,
 } from '../catalog/types.js';
 import type {FailoverLease, FailoverOrders} from '../groups/failover-lease.js';
+import type {HandoverPort} from '../groups/primary-handover.js';
+import type {PrimaryOrder} from '../groups/primary-order.js';
+import type {PrimaryRights} from '../groups/primary-rights.js';
 import type {DrainNotice} from '../groups/drain-notice.js';
 import {Leadership, type LeaderBasis} from '../groups/leadership.js';
 import {
@@ -27,11 +30,15 @@
 import type {TeamConnection} from './team-connection.js';
 import {CertifiedReads} from './certified-reads.js';
 import {GroupMember} from './group-member.js';
-import type {HomeContext} from './home-context.js';
+import type {GroupRight, HomeContext} from './home-context.js';
 import type {HomeMetrics} from './home-metrics.js';
 import {OpenTransactions} from './open-transactions.js';
 import {PrimaryWrites} from './primary-writes.js';
-import {acceptsWork, type StatementAttempt} from './statement-attempt.js';
+import {
+  acceptsWork,
+  noRight,
+  type StatementAttempt,
+} from './statement-attempt.js';
 import {
   failedStatement,
   type StatementRequest,
@@ -66,6 +73,9 @@
 /** Retry delay without a primary otherwise. */
 const NO_PRIMARY_RETRY_MS = 1_000;
 
+/** How long a statement waits for the right to the primary. */
+const RIGHT_TIMEOUT_MS = 300;
+
 /** Options of a certified home. */
 export interface CertifiedHomeOptions {
   readonly clock: Clock;
@@ -78,6 +88,10 @@
   readonly quota: Pick<BudgetHolder, 'admit'>;
   readonly failoverLease: FailoverLease;
   readonly orders: FailoverOrders;
+  readonly rights: PrimaryRights;
+  readonly handover: HandoverPort;
+  /** Age of this node's copy of the store, in milliseconds. */
+  readonly copyAgeMs: () => number;
   /** Returns whether this node is the first choice as the group's home. */
   readonly isFirstHome: () => boolean;
   /** Returns the node that serves the group's reads in a data centre. */
@@ -117,6 +131,7 @@
   readonly #writes: PrimaryWrites;
   readonly #transactionStatements: TransactionStatements;
   readonly #ctx: HomeContext;
+  readonly #right: GroupRight;
   readonly #stopping = new AbortController();
   #running = 0;
   #lastUsedAt: number;
@@ -138,6 +153,15 @@
       openTransactions: () => this.#transactions.size,
     });
     this.#keeper = this.#createKeeper();
+    const {rights} = options;
+    this.#right = {
+      get isHeld() {
+        return rights.isHeld(group);
+      },
+      claim: () => rights.claim(group),
+    };
+    const order = rights.orderOf(group);
+    if (order !== undefined) this.#leadership.recordOrder(order);
     const ctx: HomeContext = {
       clock,
       log,
@@ -146,6 +170,8 @@
       members: this.#members,
       leadership: this.#leadership,
       certificates: this.#certificates,
+      right: this.#right,
+      copyAgeMs: options.copyAgeMs,
       transactions: this.#transactions,
       gate: this.#gate,
       primaryRetryMs: () => this.#primaryRetryMs,
@@ -182,7 +208,14 @@
     this.#stopping.abort();
     this.#transactions.stop();
     for (const {pool} of this.#members.values()) pool.close();
-    void this.#options.failoverLease.release(this.#options.group);
+    const {failoverLease, rights, group} = this.#options;
+    void failoverLease.release(group);
+    void rights.release(group);
+  }
+
+  /** Applies an order to promote a database of the group. */
+  applyOrder(order: PrimaryOrder): void {
+    this.#leadership.recordOrder(order);
   }
 
   /** Rolls back a transaction whose caller has disconnected. */
@@ -295,6 +328,7 @@
       deadlineAt: now + req.deadlineMs,
     };
     const isRead = req.kind === 'read' && req.opens === undefined;
+    await this.#prepareRight(req);
     const refusal = this.#earlyRefusal(attempt);
     if (refusal !== undefined) return failedStatement(refusal);
     const quota = await this.#admit(req);
@@ -321,12 +355,11 @@
   #earlyRefusal(attempt: StatementAttempt): Verdict | undefined {
     const {req} = attempt;
     if (req.nearOnly) return this.#reads.refuseIfNoneNearby(attempt);
-    const needsPrimary =
-      req.consistency === 'primary' ||
-      (req.kind === 'write' && req.opens !== 'readOnly');
+    if (!needsPrimary(req)) return undefined;
+    if (!this.#right.isHeld) return noRight(req.group);
     const {leaderId} = this.#leadership;
     const canServe = leaderId !== undefined && acceptsWork(this.#ctx, leaderId);
-    if (!needsPrimary || canServe) return undefined;
+    if (canServe) return undefined;
     return notRun(
       'noPrimary',
       `group ${req.group} has no primary now`,
@@ -334,6 +367,22 @@
     );
   }
 
+  /** Acquires the right to the primary, and waits for it if the work needs it. */
+  async #prepareRight(req: StatementRequest): Promise<void> {
+    const {rights, group, clock} = this.#options;
+    if (req.nearOnly || this.#right.isHeld) return;
+    const acquiring = rights.acquire(group);
+    const needed = clock.now() - req.maxStalenessMs;
+    const isProven = this.#certificates.covering(needed) !== undefined;
+    if (isProven && !needsPrimary(req)) return;
+    const timer = new AbortController();
+    await Promise.race([
+      acquiring,
+      clock.sleep(RIGHT_TIMEOUT_MS, timer.signal),
+    ]);
+    timer.abort();
+  }
+
   get #primaryRetryMs(): number {
     return this.#keeper.isReplacingPrimary
       ? FAILOVER_RETRY_MS
@@ -399,6 +448,8 @@
       self,
       failoverLease,
       orders,
+      handover: this.#options.handover,
+      acquireRight: () => this.#options.rights.acquire(group),
       leadership: this.#leadership,
       databases: () => {
         this.#dropMissing();
@@ -409,6 +460,7 @@
           visiblePosition: member.visiblePosition,
           queryState: () => member.queryStateOverNewConnection(),
           queryStateOnOpenConnection: () => member.queryState(),
+          stepDown: term => member.stepDown(term),
         }));
       },
       responsibility,
@@ -441,3 +493,9 @@
     }
   }
 }
+
+/** Whether only the primary can serve a statement. */
+function needsPrimary({consistency, kind, opens}: StatementRequest): boolean {
+  if (consistency === 'primary') return true;
+  return kind === 'write' && opens !== 'readOnly';
+}
--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -6,6 +6,7 @@
  * replica that has not applied it refuses, and the read tries another database.
  */
 import {laterPosition, type Position} from '../session/position.js';
+import type {PrimaryClaim} from '../groups/primary-rights.js';
 import type {DatabaseCommand, DatabaseReply} from '../statements/types.js';
 import {placeRead} from '../routing/read-placement.js';
 import {notRun, type NotRun, type Verdict} from '../verdict/verdict.js';
@@ -17,9 +18,11 @@
   acceptsWork,
   acquireSlot,
   answered,
+  claimPrimary,
   connectionVerdict,
   wasRefused,
   noPrimary,
+  noRight,
   recordBegin,
   readTimeoutMs,
   tooManyTransactionsVerdict,
@@ -104,6 +107,7 @@
     });
     if (acquired.kind === 'refused') return;
     const {slot} = acquired;
+    const claim = claimPrimary(this.#ctx, member);
     const sentAt = clock.now();
     const end = member.trackWork(slot.connection);
     try {
@@ -111,7 +115,8 @@
         [{kind: 'begin', readOnly: false}, {kind: 'rollback'}],
         CERTIFICATE_TIMEOUT_MS,
       );
-      if (begun !== undefined) recordBegin(this.#ctx, member, begun, sentAt);
+      if (begun !== undefined)
+        recordBegin(this.#ctx, member, begun, sentAt, claim);
     } catch (err) {
       member.health.recordFailure();
       this.#ctx.log.info('certificateNotFetched', {
@@ -168,13 +173,14 @@
     slot: Slot<TeamConnection>,
     required: Position | undefined,
   ): Promise<TryOutcome> {
-    const isPrimary = member.id === this.#ctx.leadership.leaderId;
-    if (!isPrimary && required === undefined)
+    // Without the right the primary serves what it can prove like a replica.
+    const claim = claimPrimary(this.#ctx, member);
+    if (claim === undefined && !mayReadAt(attempt, required))
       return this.#releaseNotPrimary(member, slot);
     const {connection} = slot;
     const {statement} = attempt.req;
-    const outcome = await this.#runOn(attempt, member, connection, () =>
-      isPrimary
+    const outcome = await this.#runOn(attempt, member, connection, claim, () =>
+      claim !== undefined
         ? [
             {kind: 'begin', readOnly: false},
             connection.commandFor(statement),
@@ -184,9 +190,10 @@
     );
     slot.release();
     if (!Array.isArray(outcome)) return outcome;
-    const [begun] = outcome;
-    const reply = isPrimary ? outcome[1] : begun;
-    if (isPrimary && begun?.kind !== 'done') {
+    if (claim === undefined)
+      return this.#toOutcome(member, outcome[0], required);
+    const [begun, reply] = outcome;
+    if (begun?.kind !== 'done' || !claim.isValid) {
       return {result: undefined, verdict: this.#notPrimary(member)};
     }
     return this.#toOutcome(member, reply, required);
@@ -198,7 +205,7 @@
     slot: Slot<TeamConnection>,
     required: Position | undefined,
   ): Promise<TryOutcome> {
-    const {leadership, transactions} = this.#ctx;
+    const {transactions} = this.#ctx;
     if (!member.pool.mayPin) {
       slot.release();
       return {
@@ -206,20 +213,23 @@
         verdict: tooManyTransactionsVerdict(member.id),
       };
     }
-    const isPrimary = member.id === leadership.leaderId;
-    if (!isPrimary && required === undefined)
+    const claim = claimPrimary(this.#ctx, member);
+    if (claim === undefined && !mayReadAt(attempt, required))
       return this.#releaseNotPrimary(member, slot);
     const {connection} = slot;
     const {statement, sessionId} = attempt.req;
-    const begin: DatabaseCommand = isPrimary
-      ? {kind: 'begin', readOnly: false}
-      : {kind: 'begin', readOnly: true, after: required};
+    const begin: DatabaseCommand =
+      claim !== undefined
+        ? {kind: 'begin', readOnly: false}
+        : {kind: 'begin', readOnly: true, after: required};
     // Sent on its own: if begin were refused, a statement sent along with it
     // would run outside the transaction.
-    const begun = await this.#runOn(attempt, member, connection, () => [begin]);
+    const begun = await this.#runOn(attempt, member, connection, claim, () => [
+      begin,
+    ]);
     const began = Array.isArray(begun) && begun[0]?.kind === 'done';
     const ran = began
-      ? await this.#runOn(attempt, member, connection, () => [
+      ? await this.#runOn(attempt, member, connection, claim, () => [
           connection.commandFor(statement),
         ])
       : begun;
@@ -230,7 +240,7 @@
     const [reply] = ran;
     if (!began || reply?.kind !== 'done') {
       transactions.rollBack(slot);
-      if (isPrimary && !began) {
+      if (claim !== undefined && !began) {
         return {result: undefined, verdict: this.#notPrimary(member)};
       }
       return this.#toOutcome(member, reply, required);
@@ -245,6 +255,7 @@
       sessionId,
       databaseId: member.id,
       member,
+      claim,
     });
     return {
       result: answered(reply, {transaction: 'open', pin}),
@@ -266,12 +277,14 @@
     attempt: StatementAttempt,
     member: GroupMember,
     connection: TeamConnection,
+    claim: PrimaryClaim | undefined,
     createCommands: () => readonly DatabaseCommand[],
   ): Promise<DatabaseReply[] | TryOutcome> {
     const {clock} = this.#ctx;
     const {values, statement} = attempt.req;
     const timeoutMs = readTimeoutMs(this.#ctx, attempt, member);
-    const end = member.trackWork(connection);
+    const endWork = member.trackWork(connection);
+    const endClaim = claim?.begin();
     try {
       await connection.applySession(values, statement.prepared, timeoutMs);
       const sentAt = clock.now();
@@ -280,7 +293,7 @@
       for (const reply of replies) member.recordReply(reply);
       const [first] = replies;
       if (commands[0]?.kind === 'begin' && !commands[0].readOnly && first) {
-        recordBegin(this.#ctx, member, first, sentAt);
+        recordBegin(this.#ctx, member, first, sentAt, claim);
       }
       return [...replies];
     } catch (err) {
@@ -292,7 +305,8 @@
       });
       return {result: undefined, verdict: connectionVerdict(err, member.id)};
     } finally {
-      end();
+      endWork();
+      endClaim?.();
     }
   }
 
@@ -338,15 +352,21 @@
     required: Position | undefined,
     avoid: ReadonlySet<string>,
   ): readonly string[] {
-    const {members, leadership, clock, dataCentre} = this.#ctx;
+    const {members, leadership, clock, dataCentre, right} = this.#ctx;
     const candidates = [...members.values()]
       .filter(({entry: {id, isDraining}}) =>
         id === leadership.leaderId ? acceptsWork(this.#ctx, id) : !isDraining,
       )
+      .filter(
+        ({id}) =>
+          id !== leadership.leaderId ||
+          right.isHeld ||
+          mayReadAt({req}, required),
+      )
       .filter(({entry}) => !req.nearOnly || entry.dataCentre === dataCentre)
       .map(member => ({
         id: member.id,
-        isPrimary: member.id === leadership.leaderId,
+        isPrimary: member.id === leadership.leaderId && right.isHeld,
         isReachable: member.health.isReachable,
         outstanding: member.pool.outstanding,
         slots: member.entry.slots,
@@ -377,15 +397,23 @@
   }
 
   #noDatabaseVerdict({req}: StatementAttempt): Verdict {
-    const {group, leadership} = this.#ctx;
-    if (leadership.leaderId === undefined || req.consistency === 'primary') {
-      return noPrimary(this.#ctx);
-    }
+    const {group, leadership, right} = this.#ctx;
+    if (leadership.leaderId === undefined) return noPrimary(this.#ctx);
+    if (!right.isHeld && !req.nearOnly) return noRight(group);
+    if (req.consistency === 'primary') return noPrimary(this.#ctx);
     const message = `group ${group} has no database for this read now`;
     return notRun('staleReplicas', message, NO_DATABASE_RETRY_MS);
   }
 }
 
+/** Whether a read may run with the position that it requires as its proof. */
+function mayReadAt(
+  {req}: Pick<StatementAttempt, 'req'>,
+  required: Position | undefined,
+): boolean {
+  return required !== undefined && req.consistency !== 'primary';
+}
+
 /** Returns the refusal after which the caller may retry sooner. */
 function soonerRetry(a: Verdict | undefined, b: Verdict): Verdict {
   if (a?.kind !== 'notRun' || b.kind !== 'notRun') return b;
--- a/src/home/group-member.ts
+++ b/src/home/group-member.ts
@@ -33,6 +33,15 @@
   readonly anyTeam: () => string | undefined;
 }
 
+type StateConnection = Pick<
+  TeamConnection,
+  'queryState' | 'stepDown' | 'close'
+>;
+/** A command that the database answers with its state. */
+type StateCommand = (
+  connection: StateConnection,
+) => Promise<DatabaseState | undefined>;
+
 /** A database with its connection pool, health and last known log position. */
 export class GroupMember {
   entry: AnnouncedDatabase;
@@ -133,7 +142,24 @@
    *
    * @throws TargetError when it can't be reached or does not answer
    */
-  async queryStateOverNewConnection(): Promise<DatabaseState | undefined> {
+  queryStateOverNewConnection(): Promise<DatabaseState | undefined> {
+    return this.#onNewConnection(connection => connection.queryState());
+  }
+
+  /**
+   * Queries the database's state over an idle connection if there is one, as a
+   * busy database may accept no new ones.
+   */
+  queryState(): Promise<DatabaseState | undefined> {
+    return this.#onAnyConnection(connection => connection.queryState());
+  }
+
+  /** Makes the database a replica if it leads a lower term. */
+  stepDown(term: number): Promise<DatabaseState | undefined> {
+    return this.#onAnyConnection(connection => connection.stepDown(term));
+  }
+
+  async #onNewConnection(command: StateCommand) {
     const {connector, anyTeam} = this.#options;
     const team = anyTeam();
     if (team === undefined) {
@@ -145,35 +171,32 @@
       CONNECT_TIMEOUT_MS,
     );
     try {
-      return await this.#queryStateOn(opened);
+      return await this.#runStateCommand(opened, command);
     } finally {
       opened.close();
     }
   }
 
-  /**
-   * Queries the database's state over an idle connection if there is one, as a
-   * busy database may accept no new ones.
-   */
-  async queryState(): Promise<DatabaseState | undefined> {
+  async #onAnyConnection(command: StateCommand) {
     const idle = this.connections.takeAny();
-    if (idle === undefined) return this.queryStateOverNewConnection();
+    if (idle === undefined) return this.#onNewConnection(command);
     try {
-      return await this.#queryStateOn(idle);
+      return await this.#runStateCommand(idle, command);
     } finally {
       if (idle.usable) this.connections.add(idle);
     }
   }
 
-  async #queryStateOn(
-    connection: Pick<TeamConnection, 'queryState' | 'close'>,
+  async #runStateCommand(
+    connection: StateConnection,
+    command: StateCommand,
   ): Promise<DatabaseState | undefined> {
     const {clock} = this.#options;
     const cancel = startTimer(clock, STATE_TIMEOUT_MS, () =>
       connection.close(),
     );
     try {
-      const state = await connection.queryState();
+      const state = await command(connection);
       this.health.recordAnswer();
       return state;
     } finally {
--- a/src/home/home-context.ts
+++ b/src/home/home-context.ts
@@ -1,6 +1,7 @@
 /** The state that the components of a certified home share. */
 import type {DrainNotice} from '../groups/drain-notice.js';
 import type {Leadership} from '../groups/leadership.js';
+import type {PrimaryClaim} from '../groups/primary-rights.js';
 import type {Clock} from '../infra/clock.js';
 import type {PositionCertificates} from '../routing/certificates.js';
 import type {Logger} from '../telemetry/log.js';
@@ -11,6 +12,13 @@
 import type {OpenTransaction} from './transaction-statements.js';
 import type {WriteGate} from './write-gate.js';
 
+/** This node's right to send work to the group's primary. */
+export interface GroupRight {
+  readonly isHeld: boolean;
+  /** Returns a claim for one piece of work; undefined without the right. */
+  claim(): PrimaryClaim | undefined;
+}
+
 /** Dependencies and state shared within one certified home. */
 export interface HomeContext {
   readonly clock: Clock;
@@ -20,6 +28,9 @@
   readonly members: ReadonlyMap<string, GroupMember>;
   readonly leadership: Leadership;
   readonly certificates: PositionCertificates;
+  readonly right: GroupRight;
+  /** Age of this node's copy of the store, which holds the latest orders. */
+  readonly copyAgeMs: () => number;
   readonly transactions: OpenTransactions<TeamConnection, OpenTransaction>;
   readonly gate: WriteGate;
   /** Returns the retry delay while there is no primary, in milliseconds. */
--- a/src/home/home-metrics.ts
+++ b/src/home/home-metrics.ts
@@ -10,4 +10,9 @@
    * this node learnt that it drains.
    */
   recordDrainingStatement(group: string, ageMs: number): void;
+  /**
+   * Counts a commit that was not acknowledged, since the right to the primary
+   * had ended before its answer arrived.
+   */
+  recordUnacknowledgedCommit(group: string): void;
 }
--- a/src/home/primary-writes.ts
+++ b/src/home/primary-writes.ts
@@ -1,4 +1,5 @@
 /** Runs writes and opens read-write transactions at the primary. */
+import type {PrimaryClaim} from '../groups/primary-rights.js';
 import type {DatabaseReply} from '../statements/types.js';
 import {notRun, type Verdict} from '../verdict/verdict.js';
 import type {TeamConnection} from './team-connection.js';
@@ -8,13 +9,16 @@
 import {
   acquireSlot,
   answered,
+  claimPrimary,
   connectionVerdict,
   wasRefused,
   noPrimary,
+  noRight,
   recordBegin,
   rolledBackVerdict,
   runStatement,
   tooManyTransactionsVerdict,
+  withholdCommit,
   type StatementAttempt,
 } from './statement-attempt.js';
 import {failedStatement, type StatementResult} from './statement-request.js';
@@ -48,7 +52,7 @@
         const outcome = await this.#tryPrimary(attempt);
         if (outcome.result !== undefined) return outcome.result;
         last = outcome.verdict;
-        if (last.kind === 'notRun' && last.reason === 'noPrimary') break;
+        if (isFinalHere(last)) break;
       } finally {
         leave();
       }
@@ -70,12 +74,19 @@
       return {result: failedStatement(acquired.verdict)};
     }
     const {slot} = acquired;
-    const end = member.trackWork(slot.connection);
+    // Claimed after the wait for the slot, in which the primary may have changed.
+    const claim = claimPrimary(this.#ctx, member);
+    if (claim === undefined) {
+      slot.release();
+      return {result: undefined, verdict: this.#lostPrimary()};
+    }
+    const endWork = member.trackWork(slot.connection);
+    const endClaim = claim.begin();
     try {
       if (attempt.req.opens !== undefined) {
-        return await this.#open(attempt, member, slot);
+        return await this.#open(attempt, member, slot, claim);
       }
-      return await this.#write(attempt, member, slot);
+      return await this.#write(attempt, member, slot, claim);
     } catch (err) {
       slot.release();
       member.health.recordFailure();
@@ -83,25 +94,46 @@
       if (verdict.kind === 'notRun') return {result: undefined, verdict};
       return {result: failedStatement(verdict)};
     } finally {
-      end();
+      endWork();
+      endClaim();
     }
   }
 
+  #lostPrimary(): Verdict {
+    const {right, group} = this.#ctx;
+    return right.isHeld ? noPrimary(this.#ctx) : noRight(group);
+  }
+
   async #write(
     attempt: StatementAttempt,
     member: GroupMember,
     slot: Slot<TeamConnection>,
+    claim: PrimaryClaim,
   ): Promise<TryOutcome> {
     const reply = await this.#run(attempt, member, slot.connection);
     slot.release();
     if (wasRefused(reply)) return this.#notRun(member, reply);
-    return {result: answered(reply, {position: reply.position})};
+    return {result: this.#committed(attempt, member, reply, claim)};
+  }
+
+  /** The result of a statement whose commit was answered. */
+  #committed(
+    {req}: StatementAttempt,
+    member: GroupMember,
+    reply: DatabaseReply,
+    claim: PrimaryClaim,
+  ): StatementResult {
+    if (reply.kind === 'done' && !claim.isValid) {
+      return failedStatement(withholdCommit(this.#ctx, req, member));
+    }
+    return answered(reply, {position: reply.position});
   }
 
   async #open(
     attempt: StatementAttempt,
     member: GroupMember,
     slot: Slot<TeamConnection>,
+    claim: PrimaryClaim,
   ): Promise<TryOutcome> {
     const {transactions, clock} = this.#ctx;
     if (!member.pool.mayPin) {
@@ -122,7 +154,7 @@
       return this.#notRun(member, begun);
     }
     member.recordReply(begun);
-    recordBegin(this.#ctx, member, begun, sentAt);
+    recordBegin(this.#ctx, member, begun, sentAt, claim);
     let reply: DatabaseReply;
     try {
       reply = await this.#run(attempt, member, connection);
@@ -133,15 +165,17 @@
       member.health.recordFailure();
       return {result: failedStatement(rolledBackVerdict(verdict), 'failed')};
     }
-    return this.#finishOpening(attempt, member, slot, reply);
+    return this.#finishOpening(attempt, member, slot, reply, claim);
   }
 
   #finishOpening(
-    {req}: StatementAttempt,
+    attempt: StatementAttempt,
     member: GroupMember,
     slot: Slot<TeamConnection>,
     reply: DatabaseReply,
+    claim: PrimaryClaim,
   ): TryOutcome {
+    const {req} = attempt;
     const {transactions} = this.#ctx;
     if (wasRefused(reply)) {
       transactions.rollBack(slot);
@@ -153,12 +187,18 @@
     }
     if (req.commits) {
       slot.release();
-      return {result: answered(reply, {position: reply.position})};
+      return {result: this.#committed(attempt, member, reply, claim)};
     }
     slot.pin();
     const {sessionId} = req;
     const databaseId = member.id;
-    const pin = transactions.add({slot, sessionId, databaseId, member});
+    const pin = transactions.add({
+      slot,
+      sessionId,
+      databaseId,
+      member,
+      claim,
+    });
     return {result: answered(reply, {transaction: 'open', pin})};
   }
 
@@ -183,3 +223,10 @@
     };
   }
 }
+
+/** Whether this home can't do better at once. */
+function isFinalHere(verdict: Verdict): boolean {
+  if (verdict.kind !== 'notRun') return false;
+  const {reason} = verdict;
+  return reason === 'noPrimary' || reason === 'homeUnavailable';
+}
--- a/src/home/statement-attempt.ts
+++ b/src/home/statement-attempt.ts
@@ -2,11 +2,13 @@
 import type {Clock} from '../infra/clock.js';
 import type {DatabaseReply} from '../statements/types.js';
 import {newWorkEndsAt} from '../groups/drain-notice.js';
+import type {PrimaryClaim} from '../groups/primary-rights.js';
 import {TargetError} from '../targets/types.js';
 import {
   DONE,
   mayHaveRun,
   notRun,
+  type MayHaveRun,
   type NotRun,
   type Verdict,
 } from '../verdict/verdict.js';
@@ -22,6 +24,8 @@
 const READ_TIMEOUT_FACTOR = 8;
 /** Retry delay while open transactions hold the connections. */
 const TRANSACTION_RETRY_MS = 50;
+/** Retry delay without the right to the primary. */
+const NO_RIGHT_RETRY_MS = 200;
 
 /** A statement with its times on the node's monotonic clock. */
 export interface StatementAttempt {
@@ -171,21 +175,69 @@
     : notRun('targetUnavailable', message, 0);
 }
 
-/** Records what a reply to begin proves about the position and the primary. */
+/**
+ * Records what a reply to begin proves about the position and the primary.
+ *
+ * An old primary may go on after another was promoted, so its reply proves
+ * nothing by itself. With the right to the primary no promotion took effect
+ * before the reply. Without it, none had been ordered when this node's copy of
+ * the store was last confirmed.
+ */
 export function recordBegin(
-  {certificates, leadership}: HomeContext,
+  ctx: HomeContext,
   member: GroupMember,
   begun: DatabaseReply,
   sentAt: number,
+  claim: PrimaryClaim | undefined,
 ): void {
+  const {certificates, leadership, clock, copyAgeMs} = ctx;
   if (begun.kind === 'done' && begun.position !== undefined) {
-    certificates.record(begun.position, sentAt);
     leadership.recordProof(member.id, begun.position.term, sentAt);
+    if (leadership.leaderId !== member.id) return;
+    const isProven = claim?.isValid ?? false;
+    const confirmedAt = isProven ? sentAt : clock.now() - copyAgeMs();
+    certificates.record(begun.position, Math.min(sentAt, confirmedAt));
   } else if (begun.kind === 'error' && begun.code === 'notLeader') {
     leadership.recordRefusal(member.id);
   }
 }
 
+/**
+ * Claims this node's right for work at the primary; undefined without the right
+ * or if another database leads meanwhile.
+ */
+export function claimPrimary(
+  {right, leadership}: HomeContext,
+  {id}: GroupMember,
+): PrimaryClaim | undefined {
+  return leadership.leaderId === id ? right.claim() : undefined;
+}
+
+/** Creates the refusal of work for which this node lacks the right. */
+export function noRight(group: string): NotRun {
+  const message = `this node has no right to the primary of group ${group} now`;
+  return notRun('homeUnavailable', message, NO_RIGHT_RETRY_MS);
+}
+
+/**
+ * Records a commit that may not be acknowledged: when its answer arrived, another
+ * database may have been promoted without it.
+ */
+export function withholdCommit(
+  {log, metrics, group}: HomeContext,
+  {statement}: StatementRequest,
+  {id}: GroupMember,
+): MayHaveRun {
+  metrics.recordUnacknowledgedCommit(group);
+  log.warn('commitNotAcknowledged', {
+    request: statement.requestId,
+    group,
+    database: id,
+  });
+  const message = `database ${id} was replaced while it ran the statement`;
+  return mayHaveRun('termChanged', message);
+}
+
 /** Creates the refusal of a statement for lack of a primary that answers. */
 export function noPrimary({group, primaryRetryMs}: HomeContext): NotRun {
   const message = `group ${group} has no primary that answers now`;
--- a/src/home/statement-homes.ts
+++ b/src/home/statement-homes.ts
@@ -1,6 +1,7 @@
 /** Opens, serves and closes the certified homes on this node. */
 import type {Catalog, AnnouncedDatabase} from '../catalog/types.js';
 import type {Responsibility} from '../groups/failover-coordinator.js';
+import type {PrimaryOrder} from '../groups/primary-order.js';
 import type {Clock} from '../infra/clock.js';
 import {runAtTicks} from '../infra/timer.js';
 import type {PeerHandler} from '../peers/types.js';
@@ -122,6 +123,11 @@
     return this.#ensureHome(req.group).execute(req, signal);
   }
 
+  /** Applies an order to promote a database of a group. */
+  applyOrder(group: string, order: PrimaryOrder): void {
+    this.#homes.get(group)?.applyOrder(order);
+  }
+
   /** Rolls back a transaction whose caller has disconnected. */
   release(group: string, pin: string): void {
     this.#homes.get(group)?.release(pin);
--- a/src/home/team-connection.ts
+++ b/src/home/team-connection.ts
@@ -61,6 +61,11 @@
     return this.#connection.queryState();
   }
 
+  /** Makes the database a replica if it leads a lower term. */
+  stepDown(term: number): Promise<DatabaseState | undefined> {
+    return this.#connection.stepDown(term);
+  }
+
   onClose(listener: () => void): void {
     this.#connection.onClose(listener);
   }
--- a/src/home/transaction-statements.ts
+++ b/src/home/transaction-statements.ts
@@ -1,6 +1,7 @@
 /** Runs the later statements of open transactions. */
+import type {PrimaryClaim} from '../groups/primary-rights.js';
 import type {DatabaseReply} from '../statements/types.js';
-import {notRun} from '../verdict/verdict.js';
+import {notRun, type NotRun} from '../verdict/verdict.js';
 import type {TeamConnection} from './team-connection.js';
 import type {HomeContext} from './home-context.js';
 import type {GroupMember} from './group-member.js';
@@ -10,6 +11,7 @@
   connectionVerdict,
   rolledBackVerdict,
   runStatement,
+  withholdCommit,
 } from './statement-attempt.js';
 import {
   failedStatement,
@@ -24,6 +26,8 @@
 /** An open transaction and the database it runs on. */
 export interface OpenTransaction extends PinnedTransaction<TeamConnection> {
   readonly member: GroupMember;
+  /** The right under which it runs at the primary; undefined at a replica. */
+  readonly claim: PrimaryClaim | undefined;
 }
 
 /**
@@ -53,8 +57,14 @@
       );
       return failedStatement(verdict, 'failed');
     }
-    const {member, slot} = open;
-    const end = member.trackWork(slot.connection);
+    const {member, slot, claim} = open;
+    if (claim?.isValid === false) {
+      leave();
+      transactions.rollBack(slot);
+      return failedStatement(rolledBackVerdict(replaced(member)), 'failed');
+    }
+    const endWork = member.trackWork(slot.connection);
+    const endClaim = claim?.begin();
     try {
       const reply = await this.#runOn(req, member, slot.connection, deadlineAt);
       return this.#finish(req, open, reply, pin);
@@ -68,7 +78,8 @@
       }
       return failedStatement(rolledBackVerdict(verdict), 'failed');
     } finally {
-      end();
+      endWork();
+      endClaim?.();
       leave();
     }
   }
@@ -103,7 +114,7 @@
     pin: string,
   ): StatementResult {
     const {transactions, leadership} = this.#ctx;
-    const {slot, member} = open;
+    const {slot, member, claim} = open;
     if (reply.kind === 'error') {
       if (reply.code === 'notLeader') leadership.recordRefusal(member.id);
       transactions.rollBack(slot);
@@ -112,9 +123,15 @@
     }
     if (req.commits) {
       slot.release();
+      if (claim?.isValid === false)
+        return failedStatement(withholdCommit(this.#ctx, req, member));
       return answered(reply, {position: reply.position});
     }
     transactions.add(open, pin);
     return answered(reply, {transaction: 'open', pin});
   }
 }
+
+function replaced({id}: GroupMember): NotRun {
+  return notRun('noPrimary', `database ${id} was replaced as primary`);
+}
--- a/src/node/cluster-state.ts
+++ b/src/node/cluster-state.ts
@@ -12,6 +12,11 @@
   type AnnouncedDatabase,
 } from '../catalog/types.js';
 import type {DrainNotice} from '../groups/drain-notice.js';
+import {
+  decodeOrder,
+  ORDER_PREFIX,
+  type PrimaryOrder,
+} from '../groups/primary-order.js';
 import {FeedRelay} from '../fleet/feed-relay.js';
 import {MemberList} from '../fleet/member-list.js';
 import {
@@ -70,6 +75,10 @@
     id: string,
     entry: AnnouncedDatabase | undefined,
   ) => void;
+  /**
+   * Called with each promotion order; returns false if a later one is known.
+   */
+  readonly onOrder: (group: string, order: PrimaryOrder) => boolean;
 }
 
 /**
@@ -153,6 +162,7 @@
   learn({events, asOf: {era}}: ChangeSet): void {
     for (const {key, value, revision} of events) {
       const change = {key, value, at: {era, revision}};
+      if (key.startsWith(ORDER_PREFIX)) this.#applyAndRelay(change);
       const decoded = this.#options.decode(change);
       const isKnown =
         decoded?.kind === 'catalog' ||
@@ -178,6 +188,9 @@
       this.#applyMember(key.slice(MEMBER_PREFIX.length), value);
       return 'new';
     }
+    if (key.startsWith(ORDER_PREFIX)) {
+      return this.#applyOrder(key.slice(ORDER_PREFIX.length), value);
+    }
     const decoded = this.#options.decode(change);
     if (decoded?.kind === 'catalog') return this.#applyCatalog(decoded.catalog);
     if (decoded?.kind === 'database')
@@ -185,6 +198,12 @@
     return 'ignored';
   }
 
+  #applyOrder(group: string, value: string | undefined): ChangeEffect {
+    const order = decodeOrder(value);
+    if (order === undefined) return 'ignored';
+    return this.#options.onOrder(group, order) ? 'new' : 'rejected';
+  }
+
   #applyMember(id: string, value: string | undefined): void {
     const member = value === undefined ? undefined : decodeMember(value);
     this.members.apply(id, member);
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -13,6 +13,8 @@
 import {RelayedStore} from '../fleet/relayed-store.js';
 import type {FeedChange} from '../fleet/store-feed.js';
 import {FailoverLease, type FailoverOrders} from '../groups/failover-lease.js';
+import {PrimaryHandover} from '../groups/primary-handover.js';
+import {PrimaryRights} from '../groups/primary-rights.js';
 import {HomeForwarder, splitPin} from '../home/home-forwarder.js';
 import {HomeMonitor, PING_METHOD} from '../home/home-monitor.js';
 import {
@@ -27,6 +29,7 @@
 import {SystemClock} from '../infra/clock.js';
 import {EraCheckedStore} from '../infra/era-checked-store.js';
 import type {LeasedStore} from '../infra/leased-store.js';
+import {runAtTicks} from '../infra/timer.js';
 import {PeerPool} from '../peers/peer-pool.js';
 import {PeerServer} from '../peers/peer-server.js';
 import type {PeerHandler} from '../peers/types.js';
@@ -44,6 +47,7 @@
 import {WorkPlacement} from './work-placement.js';
 
 const RELEASE_TIMEOUT_MS = 1_000;
+const ERA_CHECK_PERIOD_MS = 1_000;
 /** A peer counts as unreachable before a statement that waits for it times out. */
 const PEER_CONNECT_TIMEOUT_MS = 400;
 /**
@@ -132,6 +136,8 @@
   readonly #placement: WorkPlacement;
   readonly #lease: MemberLease;
   readonly #budgets: NodeBudgets;
+  readonly #rights: PrimaryRights;
+  readonly #handover: PrimaryHandover;
   readonly #homes: StatementHomes;
   readonly #homeMonitor: HomeMonitor;
   readonly #sessionContext: SessionContext;
@@ -169,6 +175,7 @@
       decode: options.decode,
       onDatabase: (database, entry) =>
         this.#homes.applyDatabase(database, entry),
+      onOrder: (group, order) => this.#rights.observe(group, order),
     });
     this.#placement = new WorkPlacement({
       self: id,
@@ -196,6 +203,22 @@
       windowMs: options.rateWindowMs,
       signal: this.#stopping.signal,
     });
+    this.#rights = new PrimaryRights({
+      store,
+      clock,
+      log,
+      self: {id, host, port: options.peerPort},
+      minTtlMs: options.minLeaseMs,
+      onOrder: (group, order) => this.#homes.applyOrder(group, order),
+    });
+    this.#handover = new PrimaryHandover({
+      store,
+      clock,
+      log,
+      peers: this.#peers,
+      rights: this.#rights,
+      self: id,
+    });
     this.#homes = this.#createHomes();
     this.#sessionContext = this.#createSessionContext();
     this.#peerServer = new PeerServer({
@@ -208,6 +231,7 @@
         [PING_METHOD, async () => true],
         [RELAY_METHOD, async body => this.#cluster.relay.serve(body)],
         ...this.#budgets.handlers,
+        ...this.#handover.handlers,
       ]),
     });
   }
@@ -242,6 +266,10 @@
     await this.#peerServer.listen();
     void this.#cluster.feed.run(signal);
     void this.#lease.run(signal);
+    void this.#rights.run(signal);
+    void runAtTicks(this.#clock, ERA_CHECK_PERIOD_MS, signal, () =>
+      this.#handover.noteEra(),
+    );
     void this.#homeMonitor.run(signal);
     this.#homes.start();
     const {id, host, peerPort, dataCentre} = this.#options;
@@ -315,11 +343,10 @@
   async stop(): Promise<void> {
     this.#stopping.abort();
     this.#homes.stop();
-    const end = this.#lease
-      .end()
-      .catch((err: unknown) =>
+    const end = Promise.all([this.#lease.end(), this.#rights.end()]).catch(
+      (err: unknown) =>
         this.#options.log.warn('leaseNotEnded', {message: String(err)}),
-      );
+    );
     await Promise.race([end, this.#clock.sleep(STOP_POLL_MS)]);
     await this.#peerServer.close(0);
     this.#peers.close();
@@ -388,6 +415,9 @@
         self: id,
         minTtlMs: minLeaseMs,
       }),
+      rights: this.#rights,
+      handover: this.#handover,
+      copyAgeMs: () => this.#cluster.feed.ageMs(),
       isFirstHome: group => this.#placement.isFirstHome(group),
       readerIn: (group, location) =>
         this.#placement.readerIn(group, location)?.id,
--- a/src/statements/connection.ts
+++ b/src/statements/connection.ts
@@ -19,6 +19,13 @@
    * @throws TargetError `notSent` or `lost`
    */
   queryState(): Promise<DatabaseState | undefined>;
+  /**
+   * Makes the database a replica if it leads a lower term; returns its state
+   * after that, undefined if it has no free slot for that.
+   *
+   * @throws TargetError `notSent` or `lost`
+   */
+  stepDown(term: number): Promise<DatabaseState | undefined>;
   close(): void;
   /** Calls `listener` once, when the connection is closed. */
   onClose(listener: () => void): void;
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -48,6 +48,7 @@
   readonly #latency: Histogram<'kind'>;
   readonly #failoverAttempts: Counter<'group' | 'outcome'>;
   readonly #drainAge: Histogram<'group'>;
+  readonly #unacknowledged: Counter<'group'>;
   readonly #storeEra: Gauge;
   readonly #rejected: Counter<'reason'>;
 
@@ -72,6 +73,12 @@
       labelNames: ['group', 'outcome'],
       registers,
     });
+    this.#unacknowledged = new Counter({
+      name: 'zinnia_unacknowledged_commits_total',
+      help: 'Commits whose right to the primary ended before their answer.',
+      labelNames: ['group'],
+      registers,
+    });
     this.#drainAge = new Histogram({
       name: 'zinnia_draining_statement_age_seconds',
       help: 'Statements sent to draining databases, by the age of that news.',
@@ -106,6 +113,10 @@
     this.#drainAge.observe({group}, ageMs / 1_000);
   }
 
+  recordUnacknowledgedCommit(group: string): void {
+    this.#unacknowledged.inc({group});
+  }
+
   recordEra(era: number): void {
     this.#storeEra.set(era);
   }
--- a/test/statements/store-era.test.ts
+++ b/test/statements/store-era.test.ts
@@ -69,6 +69,7 @@
       return {kind: 'database', id: key.slice('servers/'.length), entry};
     },
     onDatabase: () => {},
+    onOrder: () => true,
   });
   const stop = new AbortController();
   const announce = (rest: Partial<AnnouncedDatabase>) =>
