--- a/src/groups/failover-coordinator.ts
+++ b/src/groups/failover-coordinator.ts
@@ -342,9 +342,8 @@
 
   /**
    * Returns the term that the chosen database leads once its promotion took
-   * effect, and whether it still leads the term before an order that is under
-   * way: it must step down first, or its present lead would pass for that of the
-   * promotion.
+   * effect, and whether it is an old primary that goes on: it must step down
+   * first, or its present lead would pass for that of the promotion.
    */
   #nextTerm(
     chosen: string,
@@ -353,9 +352,8 @@
     const {leadership} = this.#options;
     const state = states.get(chosen);
     const isLeading = state?.role === 'primary';
-    const {orderedId} = leadership;
     const isOldLine =
-      isLeading && orderedId !== undefined && orderedId !== chosen;
+      isLeading && leadership.hasOrder && leadership.orderedId !== chosen;
     if (isLeading && !isOldLine) return {term: state.term, isOldLine};
     const terms = [...states.values()].flatMap(({term, received}) => [
       term,
--- a/src/groups/leadership.ts
+++ b/src/groups/leadership.ts
@@ -75,6 +75,11 @@
     return Math.max(0, ...[...this.#claims.values()].map(claim => claim.term));
   }
 
+  /** Whether any promotion was ever ordered. */
+  get hasOrder(): boolean {
+    return this.#order !== undefined;
+  }
+
   /** Records the latest promotion order. */
   recordOrder(order: PrimaryOrder): void {
     this.#order = order;
