--- a/src/quota/budget-holder.ts
+++ b/src/quota/budget-holder.ts
@@ -16,15 +16,14 @@
 import type {Clock} from '../infra/clock.js';
 import type {Logger} from '../telemetry/log.js';
 import {RetrySpacing} from './retry-spacing.js';
-import type {
-  QuotaDecision,
-  RateLimits,
-  TokenReply,
-  TokenRequest,
+import {
+  PREFETCH_MS,
+  type QuotaDecision,
+  type RateLimits,
+  type TokenReply,
+  type TokenRequest,
 } from './types.js';
 
-/** Tokens are prefetched for this much future demand. */
-const PREFETCH_MS = 200;
 /** Older tokens are not spent, as the budget may have a new owner. */
 const GRANT_VALID_MS = 500;
 /** Maximum time for which a holder uses its fallback without the owner. */
--- a/src/quota/budget-owner.ts
+++ b/src/quota/budget-owner.ts
@@ -13,18 +13,23 @@
  * the rate in that window.
  *
  * Operators state a slack by which a window may exceed the limit, since no
- * fleet counts exactly. Half of it is granted, so that a small team is not refused
- * for tokens that holders have and don't spend; the other half covers those and
- * an ownership that overlaps. A new owner after an old one that granted all that
- * it could stays within the stated bound, as either grants at most a bucket: its
- * capacity and its refill for the time that it granted.
+ * fleet counts exactly. It is granted but for the tokens that holders may have
+ * from before the window: those that they ask for ahead, and a few under way. A
+ * new owner after an old one that granted all that it could stays within the
+ * stated bound, as either grants at most a bucket: its capacity and its refill for
+ * the time that it granted.
  *
  * While the owner does not answer and its lease has not ended, the next node
  * acts as a stand-in with a part of the rate, as the owner may still serve
  * other holders.
  */
 import type {Clock} from '../infra/clock.js';
-import type {RateLimits, TokenReply, TokenRequest} from './types.js';
+import {
+  PREFETCH_MS,
+  type RateLimits,
+  type TokenReply,
+  type TokenRequest,
+} from './types.js';
 import {WindowBudget} from './window-budget.js';
 
 /** Interval after which the weight of earlier grants is halved. */
@@ -37,8 +42,8 @@
  * tenth over five seconds, if the burst is about one second of the rate.
  */
 const STAND_IN_RATE_RATIO = 0.3;
-/** Part of the slack that is granted on top of the burst. */
-const SLACK_RATIO = 0.5;
+/** Tokens that are under way between the owner and the holders. */
+const TOKENS_UNDER_WAY = 3;
 
 /** This node's role for a team's budget. */
 export type BudgetRole = 'owner' | 'standIn' | 'none';
@@ -104,11 +109,7 @@
 
   #limitsFor(team: string, role: BudgetRole): RateLimits | undefined {
     const limits = this.#options.limits(team);
-    if (limits === undefined) return undefined;
-    if (role === 'owner') {
-      const slack = (this.#options.slack ?? 0) * SLACK_RATIO;
-      return {rate: limits.rate, burst: limits.burst + slack};
-    }
+    if (limits === undefined || role === 'owner') return limits;
     const rate = limits.rate * STAND_IN_RATE_RATIO;
     return {rate, burst: Math.max(1, rate)};
   }
@@ -120,10 +121,12 @@
   ): OwnedBudget {
     const {clock, heldForMs, windowMs} = this.#options;
     const size = {rate: limits.rate, burst: Math.max(1, limits.burst)};
+    const slack = role === 'owner' ? this.#slackFor(limits) : 0;
     const known = this.#owned.get(team);
     if (known !== undefined) {
       const {rate, burst} = known.budget.limits;
-      if (rate !== size.rate || burst !== size.burst) known.budget.resize(size);
+      if (rate !== size.rate || burst !== size.burst)
+        known.budget.resize(size, slack);
       return known;
     }
     const heldMs = role === 'owner' ? heldForMs() : 0;
@@ -131,6 +134,7 @@
     const budget = new WindowBudget({
       clock,
       limits: size,
+      slack,
       windowMs,
       tokens: Math.min(size.burst, accrued),
       historyCompleteAtMs: clock.now() + windowMs - heldMs,
@@ -140,6 +144,13 @@
     return owned;
   }
 
+  /** The slack less the tokens that holders may have from before a window. */
+  #slackFor({rate}: RateLimits): number {
+    const {slack = 0} = this.#options;
+    const askedAhead = (rate * PREFETCH_MS) / 1_000;
+    return Math.max(0, slack - askedAhead - TOKENS_UNDER_WAY);
+  }
+
   /** Takes back no more than this node has granted to the holder lately. */
   #takeBack(owned: OwnedBudget, holder: string, returned: number): void {
     const granted = owned.granted.get(holder) ?? 0;
--- a/src/quota/types.ts
+++ b/src/quota/types.ts
@@ -1,5 +1,8 @@
 /** Messages between the holders and the owner of a team's budget. */
 
+/** Holders ask for tokens ahead for the demand of this time. */
+export const PREFETCH_MS = 200;
+
 /** A holder's request for tokens. */
 export interface TokenRequest {
   readonly team: string;
--- a/src/quota/window-budget.ts
+++ b/src/quota/window-budget.ts
@@ -7,6 +7,10 @@
  * on, although each window would allow the burst again. This budget therefore
  * refills faster, by part of the burst in each window, and counts the grants in
  * the window, so that no window exceeds its bound.
+ *
+ * A window may exceed the limit by a slack, which serves a small team's peaks. The
+ * slack's part of the capacity and its refill in a window add up to the slack, so
+ * that a budget and its successor together grant it once.
  */
 import {TokenBucket} from '../admission/token-bucket.js';
 import type {Clock} from '../infra/clock.js';
@@ -19,11 +23,15 @@
  * holders have not spent yet, and times when two owners overlap.
  */
 const BURST_REFILL_RATIO = 0.5;
+/** Part of the slack that is granted at once; the rest is refilled. */
+const SLACK_CAPACITY_RATIO = 0.3;
 
 /** Options of a window budget. */
 export interface WindowBudgetOptions {
   readonly clock: Clock;
   readonly limits: RateLimits;
+  /** Operations by which a window may exceed the limits; 0 by default. */
+  readonly slack?: number;
   /** Length of the sliding window, in milliseconds. */
   readonly windowMs: number;
   /** Initial number of tokens. */
@@ -46,6 +54,7 @@
 export class WindowBudget {
   readonly #clock: Clock;
   readonly #windowMs: number;
+  #slack: number;
   #historyCompleteAtMs: number;
   readonly #bucket: TokenBucket;
   /** Grants by part of a window, the oldest first. */
@@ -55,6 +64,7 @@
 
   constructor(options: WindowBudgetOptions) {
     const {clock, limits, windowMs, tokens, historyCompleteAtMs} = options;
+    this.#slack = options.slack ?? 0;
     this.#clock = clock;
     this.#windowMs = windowMs;
     this.#historyCompleteAtMs = historyCompleteAtMs;
@@ -108,7 +118,7 @@
    * Changes the limits. Lower limits apply to windows that begin now, so that
    * grants made under the higher ones no longer count.
    */
-  resize(limits: RateLimits): void {
+  resize(limits: RateLimits, slack = 0): void {
     this.#refresh();
     if (limits.rate < this.#limits.rate || limits.burst < this.#limits.burst) {
       this.#granted.length = 0;
@@ -116,6 +126,7 @@
       this.#historyCompleteAtMs = this.#clock.now() + this.#windowMs;
     }
     this.#limits = limits;
+    this.#slack = slack;
     this.#bucket.resize(this.#bucketSize());
   }
 
@@ -126,15 +137,20 @@
   /** Tokens that may still be granted in the window that ends now. */
   get #remainingInWindow(): number {
     const {rate, burst} = this.#limits;
-    return (rate * this.#windowMs) / 1_000 + burst - this.#grantedInWindow;
+    const most = (rate * this.#windowMs) / 1_000 + burst + this.#slack;
+    return most - this.#grantedInWindow;
   }
 
   #bucketSize(): RateLimits {
     const {rate, burst} = this.#limits;
     const isComplete = this.#clock.now() >= this.#historyCompleteAtMs;
     const windowS = this.#windowMs / 1_000;
-    const extra = isComplete ? (burst * BURST_REFILL_RATIO) / windowS : 0;
-    return {rate: rate + extra, burst};
+    const burstRefill = isComplete ? burst * BURST_REFILL_RATIO : 0;
+    const slackRefill = this.#slack * (1 - SLACK_CAPACITY_RATIO);
+    return {
+      rate: rate + (burstRefill + slackRefill) / windowS,
+      burst: burst + this.#slack * SLACK_CAPACITY_RATIO,
+    };
   }
 
   #refresh(): void {
