--- a/src/fleet/member-lease.ts
+++ b/src/fleet/member-lease.ts
@@ -1,4 +1,11 @@
-/** Registers this node in the store under a lease and renews the lease. */
+/**
+ * Registers this node in the store under a lease and renews the lease.
+ *
+ * Load pattern: hundreds of nodes renew their leases, which is most of what the
+ * store is asked on a calm day. Only a few of them do work that others wait to
+ * take over: homes, budget owners and watchers. They renew often, so that their
+ * leases end soon after they fail; the others seldom.
+ */
 import type {Clock} from '../infra/clock.js';
 import {LeaseGoneError, type LeasedStore} from '../infra/leased-store.js';
 import {
@@ -15,6 +22,16 @@
  */
 const LEASE_TTL_MS = 2_000;
 const RENEW_PERIOD_MS = 500;
+/**
+ * The same for a node without such work. The period is below the shorter time to
+ * live, so that a node that gets work can rely on its lease at once.
+ */
+const IDLE_LEASE_TTL_MS = 6_400;
+const IDLE_RENEW_PERIOD_MS = 1_600;
+/** How long a node has such work before it renews more often. */
+const WORK_SETTLED_MS = 3_000;
+/** How long a node is without it before it renews less often. */
+const IDLE_SETTLED_MS = 10_000;
 const RETRY_MS = 100;
 /** The node stops relying on its lease this long before it expires. */
 const EXPIRY_MARGIN_MS = 200;
@@ -32,6 +49,8 @@
   readonly self: FleetMember;
   /** The shortest lease that the store grants, in milliseconds. */
   readonly minTtlMs: number;
+  /** Returns whether this node does work that other nodes take over. */
+  readonly hasWork: () => boolean;
   /** Returns the number of live nodes. */
   readonly fleetSize: () => number;
   /** Returns a number from 0 to 1; `Math.random` by default. */
@@ -57,18 +76,29 @@
   #revision = 0;
   /** The store's era in which this node's record was last written. */
   #recordEra = 0;
+  /** Whether the lease is one of a node with work. */
+  #isShort: boolean;
+  /** Since when that differs from what the node needs. */
+  #differsSince: number | undefined;
 
   constructor(options: MemberLeaseOptions) {
     this.#options = options;
     this.#self = options.self;
+    this.#isShort = false;
   }
 
-  /** Whether the lease is certainly valid now. Don't cache it. */
+  /**
+   * Whether the lease is certainly valid now. Don't cache it. A node without work
+   * relies on it no longer than one with work, so that work which it is given
+   * passes on as soon.
+   */
   get isHeld(): boolean {
     if (this.#renewedAt === undefined || this.#lease === undefined)
       return false;
-    const age = elapsedSince(this.#options.clock, this.#renewedAt);
-    return age < this.#ttlMs - EXPIRY_MARGIN_MS;
+    const {clock, minTtlMs} = this.#options;
+    const ageMs = elapsedSince(clock, this.#renewedAt);
+    const reliableMs = Math.min(this.#ttlMs, Math.max(LEASE_TTL_MS, minTtlMs));
+    return ageMs < reliableMs - EXPIRY_MARGIN_MS;
   }
 
   /** How long the lease has been held without interruption. */
@@ -81,9 +111,10 @@
   async run(signal: AbortSignal): Promise<void> {
     const {clock, log} = this.#options;
     while (!signal.aborted) {
-      let waitMs = RENEW_PERIOD_MS;
+      let waitMs = this.#isShort ? RENEW_PERIOD_MS : IDLE_RENEW_PERIOD_MS;
       try {
         if (this.#lease === undefined) await this.#register();
+        else if (this.#needsOtherLease()) await this.#exchangeLease();
         else await this.#renew();
       } catch (err) {
         waitMs = RETRY_MS;
@@ -107,16 +138,49 @@
     if (lease !== undefined) await this.#options.store.revoke(lease);
   }
 
+  /** Whether the node has had work, or none, for long enough. */
+  #needsOtherLease(): boolean {
+    const {clock, hasWork} = this.#options;
+    const now = clock.now();
+    if (hasWork() === this.#isShort) {
+      this.#differsSince = undefined;
+      return false;
+    }
+    this.#differsSince ??= now;
+    const settledMs = this.#isShort ? IDLE_SETTLED_MS : WORK_SETTLED_MS;
+    return now - this.#differsSince >= settledMs;
+  }
+
+  /** Moves the record to a lease of the other length. */
+  async #exchangeLease(): Promise<void> {
+    const {store, log} = this.#options;
+    const old = this.#lease ?? '';
+    this.#isShort = !this.#isShort;
+    this.#differsSince = undefined;
+    try {
+      await this.#register();
+    } catch (err) {
+      this.#isShort = !this.#isShort;
+      throw err;
+    }
+    await store.revoke(old).catch((err: unknown) => {
+      // It ends by itself, and the record no longer hangs on it.
+      log.info('oldLeaseNotEnded', {lease: old, message: String(err)});
+    });
+  }
+
   async #register(): Promise<void> {
     const {store, clock, log, minTtlMs} = this.#options;
+    const wasHeld = this.isHeld;
     const sentAt = takeInstant(clock);
-    const wantedMs = Math.max(LEASE_TTL_MS, minTtlMs);
+    const usualMs = this.#isShort ? LEASE_TTL_MS : IDLE_LEASE_TTL_MS;
+    const wantedMs = Math.max(usualMs, minTtlMs);
     const {id, ttlMs} = await store.grant(wantedMs);
     await this.#write(id);
     this.#lease = id;
     this.#ttlMs = ttlMs;
     this.#renewedAt = sentAt;
-    this.#heldSince = clock.now();
+    if (!wasHeld) this.#heldSince = clock.now();
     log.info('memberRegistered', {lease: id, ttlMs});
   }
 
--- a/src/fleet/member-list.ts
+++ b/src/fleet/member-list.ts
@@ -15,6 +15,10 @@
  * homes: a home does the work of all entries of its group.
  */
 const MIN_HOME_CORES_RATIO = 0.6;
+/** Stewards for a fleet of one node; their number grows with its square root. */
+const STEWARDS_RATIO = 2;
+/** Fleets up to this size have nobody but stewards. */
+const MIN_STEWARDS = 8;
 
 /** Dependencies of {@link MemberList}. */
 export interface MemberListOptions {
@@ -36,6 +40,7 @@
   /** When the lease of each member in the grace period lapsed. */
   readonly #lapsedAt = new Map<string, number>();
   #homeOrders = new Map<string, readonly FleetMember[]>();
+  #stewardOrders = new Map<string, readonly FleetMember[]>();
 
   constructor(options: MemberListOptions) {
     this.#options = options;
@@ -43,7 +48,7 @@
 
   /** Applies a member's record; undefined if its key was removed. */
   apply(id: string, member: FleetMember | undefined): void {
-    this.#homeOrders = new Map();
+    this.#forgetOrders();
     if (member !== undefined) {
       this.#known.set(id, member);
       this.#lapsedAt.delete(id);
@@ -82,6 +87,23 @@
     return order;
   }
 
+  /**
+   * Members in order of preference for work that any node can do, of which there
+   * is little for each name. A few of them, the stewards, rank before all others:
+   * only they have to notice one another's failure soon.
+   */
+  stewardOrder(name: string): readonly FleetMember[] {
+    this.#removeExpired();
+    const known = this.#stewardOrders.get(name);
+    if (known !== undefined) return known;
+    const all = this.homeOrder('stewards');
+    const count = Math.ceil(STEWARDS_RATIO * Math.sqrt(all.length));
+    const stewards = all.slice(0, Math.max(MIN_STEWARDS, count));
+    const order = [...rankHomes(name, stewards), ...all.slice(stewards.length)];
+    this.#stewardOrders.set(name, order);
+    return order;
+  }
+
   #removeExpired(): void {
     const oldest = this.#options.clock.now() - LAPSE_GRACE_MS;
     for (const [id, lapsedAt] of this.#lapsedAt) {
@@ -92,7 +114,12 @@
   #remove(id: string): void {
     this.#known.delete(id);
     this.#lapsedAt.delete(id);
+    this.#forgetOrders();
+  }
+
+  #forgetOrders(): void {
     this.#homeOrders = new Map();
+    this.#stewardOrders = new Map();
   }
 }
 
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -191,6 +191,7 @@
       log,
       self: this.#createMember(),
       minTtlMs: options.minLeaseMs,
+      hasWork: () => this.#placement.hasWork(this.#cluster.catalog),
       fleetSize: () => this.#cluster.members.live().length,
     });
     this.#budgets = new NodeBudgets({
--- a/src/node/work-placement.ts
+++ b/src/node/work-placement.ts
@@ -1,5 +1,5 @@
 /** Chooses the nodes for a group's work, a team's budget and the change feed. */
-import type {Consistency} from '../catalog/types.js';
+import type {Catalog, Consistency} from '../catalog/types.js';
 import {peerAddressOf} from '../fleet/member-list.js';
 import type {FleetMember} from '../fleet/member-record.js';
 import {chooseWatchers, orderWatchers} from '../fleet/watchers.js';
@@ -82,7 +82,26 @@
 
   /** Returns the nodes in order of preference as the owner of a team's budget. */
   budgetOrder(team: string): readonly FleetMember[] {
-    return this.#options.clusterState.members.homeOrder(`budget ${team}`);
+    return this.#options.clusterState.members.stewardOrder(`budget ${team}`);
+  }
+
+  /**
+   * Whether this node does work that other nodes wait to take over: a home, a
+   * team's budget or the change feed.
+   */
+  hasWork({groups, teams}: Pick<Catalog, 'groups' | 'teams'>): boolean {
+    const {self, clusterState} = this.#options;
+    const isWatcher = chooseWatchers(clusterState.members.live()).some(
+      ({id}) => id === self,
+    );
+    if (isWatcher) return true;
+    for (const group of groups.keys()) {
+      if (this.isFirstHome(group)) return true;
+    }
+    for (const team of teams.keys()) {
+      if (this.budgetOrder(team)[0]?.id === self) return true;
+    }
+    return false;
   }
 
   /** Returns the watchers to query, without silent ones; none for a watcher itself. */
