--- a/src/fleet/member-lease.ts
+++ b/src/fleet/member-lease.ts
@@ -111,20 +111,24 @@
   async run(signal: AbortSignal): Promise<void> {
     const {clock, log} = this.#options;
     while (!signal.aborted) {
-      let waitMs = this.#isShort ? RENEW_PERIOD_MS : IDLE_RENEW_PERIOD_MS;
+      let hasFailed = false;
       try {
         if (this.#lease === undefined) await this.#register();
         else if (this.#needsOtherLease()) await this.#exchangeLease();
         else await this.#renew();
       } catch (err) {
-        waitMs = RETRY_MS;
+        hasFailed = true;
         if (err instanceof LeaseGoneError) this.#clearLease();
         log.warn('memberLeaseNotRenewed', {message: String(err)});
       }
-      await clock.sleep(waitMs, signal);
+      await clock.sleep(hasFailed ? RETRY_MS : this.#periodMs, signal);
     }
   }
 
+  get #periodMs(): number {
+    return this.#isShort ? RENEW_PERIOD_MS : IDLE_RENEW_PERIOD_MS;
+  }
+
   /** Marks this node's record as leaving, so that it receives no new work. */
   async announceLeaving(): Promise<void> {
     this.#self = {...this.#self, isLeaving: true};
