--- a/standins/database/admin-server.ts
+++ b/standins/database/admin-server.ts
@@ -76,6 +76,7 @@
       (_url, order) => core.runner.setServiceTime(readMs(order)),
     ],
     ['POST /hold', (_url, order) => holdOrders(core, order)],
+    ['POST /narrow', (_url, {orderer}) => narrowHolds(core, orderer)],
     ['GET /held', () => core.member.orders.held],
     ['GET /status', () => core.member.status()],
     ['GET /log', () => core.member.log.after(0)],
@@ -88,6 +89,10 @@
   ]);
 }
 
+function narrowHolds(core: DatabaseCore, orderer: unknown): void {
+  core.member.orders.narrow(String(orderer));
+}
+
 function holdOrders(core: DatabaseCore, body: AdminRequestBody): void {
   const {order: kind = 'fence', moment = 'before', orderer = ''} = body;
   core.member.orders.hold({kind, moment, orderer}, readMs(body));
--- a/standins/database/order-gates.ts
+++ b/standins/database/order-gates.ts
@@ -16,7 +16,7 @@
 
 interface Hold {
   readonly gate: FreezeGate;
-  readonly orderer: string;
+  orderer: string;
 }
 
 /** Delays orders and their answers on request. */
@@ -38,6 +38,11 @@
     this.#holds.set(key, {gate, orderer});
   }
 
+  /** Delays from now on only orders whose orderer starts with `orderer`. */
+  narrow(orderer: string): void {
+    for (const hold of this.#holds.values()) hold.orderer = orderer;
+  }
+
   /** Resolves when the order or its answer is no longer delayed. */
   async waitUntilReleased(order: HeldOrder): Promise<void> {
     const hold = this.#holds.get(`${order.moment} ${order.kind}`);
