--- a/test/quota/budget-holder.test.ts
+++ b/test/quota/budget-holder.test.ts
@@ -3,7 +3,7 @@
 import {createRandom} from '../admission/random.js';
 import {BudgetHolder} from '../../src/quota/budget-holder.js';
 import {BudgetOwner} from '../../src/quota/budget-owner.js';
-import type {RateLimits} from '../../src/quota/types.js';
+import {decodeTokenRequest, type RateLimits} from '../../src/quota/types.js';
 import {createLogger} from '../../src/telemetry/log.js';
 import {VirtualClock} from '../fakes/virtual-clock.js';
 
@@ -104,6 +104,27 @@
   return Math.max(0, ...counts);
 }
 
+describe('token request of another node', () => {
+  it.each([
+    undefined,
+    {team: 'red'},
+    {team: 7, wanted: 1, returned: 0},
+    {team: 'red', wanted: -1, returned: 0},
+    {team: 'red', wanted: 1e300, returned: 0},
+    {team: 'red', wanted: Number.NaN, returned: 0},
+  ])('is refused if it is malformed (%j)', body => {
+    expect(decodeTokenRequest(body)).toBeUndefined();
+  });
+
+  it('gives nothing back if it says nothing of that', () => {
+    expect(decodeTokenRequest({team: 'red', wanted: 2})).toEqual({
+      team: 'red',
+      wanted: 2,
+      returned: 0,
+    });
+  });
+});
+
 describe('budget holder', () => {
   it('refuses no operation of a team within its rate that joins a request under way', async () => {
     const {clock, holderOf} = createBudget();
--- a/test/statements/primary-rights.test.ts
+++ b/test/statements/primary-rights.test.ts
@@ -178,6 +178,28 @@
     expect(await peers.call(to, HAND_BACK_METHOD, body, options)).toBe(false);
   });
 
+  it.each([
+    undefined,
+    'hand back',
+    {group: GROUP, node: 'a'},
+    {group: GROUP, node: 'a', order: {...orderOf(5), token: 'soon'}},
+    {group: GROUP, node: 'b', order: orderOf(5)},
+  ])(
+    'is not handed back for a malformed or misdirected request (%j)',
+    async body => {
+      const {createNode, peers} = createFleet();
+      const {rights} = createNode('a');
+      await rights.acquire(GROUP);
+      const claim = rights.claim(GROUP)!;
+      const to = {id: 'a', host: 'h', port: 1};
+      const options = {timeoutMs: 1_000};
+      const call = peers.call(to, HAND_BACK_METHOD, body, options);
+      await expect(call).rejects.toThrow(/malformed|not node/);
+      expect(claim.isValid).toBe(true);
+      expect(rights.orderOf(GROUP)).toBeUndefined();
+    },
+  );
+
   it('is no longer held by a node that the store does not answer', async () => {
     const {createNode, clock, store} = createFleet();
     const {rights} = createNode('a');
