--- a/src/fleet/member-list.ts
+++ b/src/fleet/member-list.ts
@@ -39,6 +39,8 @@
   readonly #known = new Map<string, FleetMember>();
   /** When the lease of each member in the grace period lapsed. */
   readonly #lapsedAt = new Map<string, number>();
+  /** When a member last left or was lost; its work passed to another. */
+  #lostAt = -Infinity;
   #homeOrders = new Map<string, readonly FleetMember[]>();
   #stewardOrders = new Map<string, readonly FleetMember[]>();
 
@@ -49,6 +51,8 @@
   /** Applies a member's record; undefined if its key was removed. */
   apply(id: string, member: FleetMember | undefined): void {
     this.#forgetOrders();
+    const hadWork = this.#known.get(id)?.isLeaving === false;
+    if (hadWork && member?.isLeaving === true) this.#noteLoss();
     if (member !== undefined) {
       this.#known.set(id, member);
       this.#lapsedAt.delete(id);
@@ -111,7 +115,18 @@
     }
   }
 
+  /** Milliseconds since a member last left or was lost; infinite if none was. */
+  sinceLossMs(): number {
+    this.#removeExpired();
+    return this.#options.clock.now() - this.#lostAt;
+  }
+
+  #noteLoss(): void {
+    this.#lostAt = this.#options.clock.now();
+  }
+
   #remove(id: string): void {
+    if (this.#known.get(id)?.isLeaving === false) this.#noteLoss();
     this.#known.delete(id);
     this.#lapsedAt.delete(id);
     this.#forgetOrders();
--- a/src/node/node-budgets.ts
+++ b/src/node/node-budgets.ts
@@ -27,7 +27,10 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly self: string;
-  readonly clusterState: Pick<ClusterState, 'catalog' | 'hasEarlierProcesses'>;
+  readonly clusterState: Pick<
+    ClusterState,
+    'catalog' | 'hasEarlierProcesses' | 'members'
+  >;
   readonly placement: Pick<WorkPlacement, 'budgetOrder' | 'firstResponsive'>;
   readonly lease: Pick<MemberLease, 'isHeld' | 'heldForMs'>;
   readonly homeMonitor: Pick<HomeMonitor, 'begin'>;
@@ -90,15 +93,17 @@
 
   /**
    * Returns for how many milliseconds no other node can have granted from a
-   * budget that this node has just taken over. After a restart of the whole
-   * fleet that is this node's uptime, as no earlier owner is left.
+   * budget that this node has just taken over: the earlier owner granted until it
+   * left. After a restart of the whole fleet that is this node's uptime, as no
+   * earlier owner is left.
    */
   #exclusiveForMs(): number {
     const {clock, clusterState, lease} = this.#options;
     const uptimeMs = clock.now() - this.#startedAt;
     const hasFleetRestarted =
       !clusterState.hasEarlierProcesses && uptimeMs < FLEET_RESTART_WINDOW_MS;
-    return hasFleetRestarted ? uptimeMs : lease.heldForMs;
+    if (hasFleetRestarted) return uptimeMs;
+    return Math.min(lease.heldForMs, clusterState.members.sinceLossMs());
   }
 
   #roleFor(team: string): BudgetRole {
