--- a/src/callers/statement-runner.ts
+++ b/src/callers/statement-runner.ts
@@ -62,14 +62,7 @@
     const result = await this.#admitAndExecute(req);
     this.#transaction = result.transaction;
     this.#pin = result.pin;
-    const isLost = wasOpen && result.pin === undefined;
-    if (
-      isLost &&
-      result.verdict.kind !== 'done' &&
-      !includesTransactionEnd(req)
-    ) {
-      this.abortTransaction();
-    }
+    if (result.verdict.kind !== 'done') this.#endAfterFailure(req, wasOpen);
     if (result.position !== undefined) {
       this.#updateToken(result.position, kind);
     }
@@ -102,6 +95,16 @@
     this.#deps.executor.cancel(this.#authority.group, this.sessionId);
   }
 
+  /**
+   * Leaves no transaction open behind an error, as PostgreSQL does: what follows
+   * would run inside it without the caller's knowledge.
+   */
+  #endAfterFailure(req: RunRequest, wasOpen: boolean): void {
+    if (wasOpen && !includesTransactionEnd(req)) return this.abortTransaction();
+    this.releaseTransaction();
+    this.#transaction = 'idle';
+  }
+
   async #admitAndExecute(req: RunRequest): Promise<ExecResult> {
     const deadlineAt = req.arrivedAt + this.#parameters.deadlineMs;
     const refusal =
--- a/src/home/write-path.ts
+++ b/src/home/write-path.ts
@@ -196,12 +196,16 @@
     const verdict = needsAck(answer.startPosition, end)
       ? await this.#acknowledge(attempt, databaseId, end.position)
       : DONE;
-    if (verdict.kind === 'done') await answer.flush();
+    if (verdict.kind !== 'done') {
+      if (pin !== undefined) this.#options.transactions.release(pin);
+      return failedResult(verdict);
+    }
+    await answer.flush();
     return {
       verdict,
       transaction: pin === undefined ? 'idle' : slot.connection.transaction,
       pin,
-      position: verdict.kind === 'done' ? end.position : undefined,
+      position: end.position,
       failed: end.failed,
       servedBy: 'primary',
     };
--- a/test/callers/fakes.ts
+++ b/test/callers/fakes.ts
@@ -18,6 +18,8 @@
   readonly #keys = new Map<string, string>();
   staleMs = 60_000;
   open = false;
+  /** Refuses each statement as a node does that may miss withdrawn keys. */
+  cutOff = false;
 
   /** Gives a team the key `key-of-<team>`. */
   grant(team: string): void {
@@ -50,6 +52,7 @@
   }
 
   recheck({team, keyId}: Authority): NotRun | undefined {
+    if (this.cutOff) return notRun('cutOff', 'this VM is cut off', 1_000);
     if (keyId === undefined || this.#keys.has(team)) return undefined;
     return notRun('notAuthorised', `the key of team ${team} was withdrawn`);
   }
--- a/test/callers/transactions.test.ts
+++ b/test/callers/transactions.test.ts
@@ -1,4 +1,4 @@
-import {describe, expect, it, vi} from 'vitest';
+import {afterEach, describe, expect, it, vi} from 'vitest';
 import {useHarness, type TestClient} from './harness.js';
 import {expectSqlstate} from '../fakes/failures.js';
 
@@ -7,6 +7,10 @@
 
 describe('transactions', () => {
   const harness = useHarness();
+  afterEach(() => {
+    harness.access.cutOff = false;
+    harness.admission.refuseWithRetryMs = undefined;
+  });
 
   async function countOf(client: TestClient, id: string): Promise<string> {
     const sql = 'SELECT count(*) FROM claims WHERE id = $1';
@@ -99,6 +103,46 @@
     },
   );
 
+  it('keeps no transaction open behind a ROLLBACK that a cut-off node refuses', async () => {
+    const client = await harness.connect();
+    const other = await harness.connect();
+    await client.query('BEGIN');
+    await client.query(INSERT, ['cut-1', 'red', 1]);
+    harness.access.cutOff = true;
+    await expectSqlstate(client.query(INSERT, ['cut-2', 'red', 1]), '57P03');
+    await client.query('ROLLBACK');
+    harness.access.cutOff = false;
+    await client.query(INSERT, ['after-cut', 'red', 1]);
+    expect(await countOf(other, 'after-cut')).toBe('1');
+    expect(await countOf(other, 'cut-1')).toBe('0');
+    expect(await countActive()).toBe(0);
+  });
+
+  it('is rolled back and over when its COMMIT is refused', async () => {
+    const client = await harness.connect();
+    const other = await harness.connect();
+    await client.query('BEGIN');
+    await client.query(INSERT, ['refused-commit', 'red', 1]);
+    harness.access.cutOff = true;
+    await expectSqlstate(client.query('COMMIT'), '57P03');
+    harness.access.cutOff = false;
+    await client.query(INSERT, ['after-commit', 'red', 1]);
+    expect(await countOf(other, 'after-commit')).toBe('1');
+    expect(await countOf(other, 'refused-commit')).toBe('0');
+    expect(await countActive()).toBe(0);
+  });
+
+  it('commits nothing after a statement of it was refused', async () => {
+    const client = await harness.connect();
+    await client.query('BEGIN');
+    await client.query(INSERT, ['half-1', 'red', 1]);
+    harness.admission.refuseWithRetryMs = 10;
+    await expectSqlstate(client.query(INSERT, ['half-2', 'red', 1]), '53400');
+    harness.admission.refuseWithRetryMs = undefined;
+    expect((await client.query('COMMIT')).command).toBe('ROLLBACK');
+    expect(await countOf(client, 'half-1')).toBe('0');
+  });
+
   it('rolls back for a caller lost in a transaction and keeps the connection', async () => {
     const wire = await harness.connectWire();
     await wire.logIn();
