--- a/src/home/home-service.ts
+++ b/src/home/home-service.ts
@@ -161,6 +161,8 @@
   /** A transaction stays at its home if the group's description changes. */
   #homeFor({group, pin}: ExecRequest): GroupHome | undefined {
     if (pin === undefined) return this.#ensureHome(group);
+    const current = this.#homes.get(group)?.home;
+    if (current?.hasTransaction(pin)) return current;
     const previous = [...this.#superseded].find(home =>
       home.hasTransaction(pin),
     );
--- a/test/home/home-service.test.ts
+++ b/test/home/home-service.test.ts
@@ -124,6 +124,14 @@
     expect(group.database('db-3').promotions).toEqual([]);
   });
 
+  it('still knows a transaction whose next statement is the first to meet the change', async () => {
+    const begun = await execute();
+    spec = {...spec, databases: spec.databases.slice(0, 2)};
+    const next = await execute({...WRITE, pin: begun.pin});
+    expect(next.verdict).toEqual({kind: 'done'});
+    expect(next.pin).toBe(begun.pin);
+  });
+
   it('forwards cancel requests to the batches of the superseded home', async () => {
     end = undefined;
     void execute();
