--- a/src/fleet/member-lease.ts
+++ b/src/fleet/member-lease.ts
@@ -43,7 +43,7 @@
 
 /** Dependencies and settings of {@link MemberLease}. */
 export interface MemberLeaseOptions {
-  readonly store: LeasedStore;
+  readonly store: Pick<LeasedStore, 'swap' | 'grant' | 'renew' | 'revoke'>;
   readonly clock: Clock;
   readonly log: Logger;
   readonly self: FleetMember;
--- a/src/fleet/relayed-store.ts
+++ b/src/fleet/relayed-store.ts
@@ -23,8 +23,6 @@
  * is no longer ready.
  */
 const MAX_RELAYED_AGE_MS = 1_200;
-/** Number of watchers to try before reading the store directly. */
-const MAX_WATCHERS_TRIED = 2;
 
 /** Dependencies of {@link RelayedStore}. */
 export interface RelayedStoreOptions {
@@ -32,10 +30,10 @@
   readonly peers: PeerCaller;
   readonly log: Logger;
   /**
-   * The responsive watchers in the order in which this node tries them; empty
-   * if this node is a watcher itself.
+   * The responsive nodes to ask in the order in which this node tries them;
+   * empty if this node is a watcher that reaches the store itself.
    */
-  readonly watchers: () => readonly PeerAddress[];
+  readonly sources: () => readonly PeerAddress[];
 }
 
 /**
@@ -75,7 +73,7 @@
   async #requestFromWatchers(
     after: StorePosition | undefined,
   ): Promise<ChangeSet | undefined> {
-    const watchers = this.#options.watchers().slice(0, MAX_WATCHERS_TRIED);
+    const watchers = this.#options.sources();
     for (const watcher of watchers) {
       const changes = await this.#requestFrom(watcher, after);
       if (changes === undefined) continue;
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -10,8 +10,12 @@
   encodeRelayRequest,
   RELAY_METHOD,
 } from '../fleet/feed-relay.js';
+import {PeerBackedStore} from '../fleet/peer-backed-store.js';
 import {RelayedStore} from '../fleet/relayed-store.js';
+import {StoreAccess} from '../fleet/store-access.js';
+import {STORE_CALL_METHOD} from '../fleet/store-call.js';
 import type {FeedChange} from '../fleet/store-feed.js';
+import {TrackedStore} from '../fleet/tracked-store.js';
 import {FailoverLease, type FailoverOrders} from '../groups/failover-lease.js';
 import {PrimaryHandover} from '../groups/primary-handover.js';
 import {PrimaryRights} from '../groups/primary-rights.js';
@@ -133,7 +137,7 @@
   readonly #stopping = new AbortController();
   readonly #peers: PeerPool;
   readonly #peerServer: PeerServer;
-  readonly #store: EraCheckedStore;
+  readonly #store: PeerBackedStore;
   readonly #cluster: ClusterState;
   readonly #placement: WorkPlacement;
   readonly #lease: MemberLease;
@@ -153,8 +157,11 @@
     const clock = this.#clock;
     this.#options = options;
     const {metrics} = this;
-    const store = new EraCheckedStore({store: options.store, log, metrics});
-    this.#store = store;
+    const storeAccess = new StoreAccess(clock);
+    const direct = new TrackedStore(
+      new EraCheckedStore({store: options.store, log, metrics}),
+      storeAccess,
+    );
     // Every running call adds a listener; lifts the limit for the leak warning.
     setMaxListeners(0, this.#stopping.signal);
     this.#peers = new PeerPool({
@@ -163,15 +170,24 @@
       connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
     });
     this.#homeMonitor = new HomeMonitor({clock, peers: this.#peers, log});
+    const store = new PeerBackedStore({
+      direct,
+      access: storeAccess,
+      peers: this.#peers,
+      helpers: () => this.#placement.storeHelpers(),
+      log,
+      recordPeerCall: outcome => metrics.recordPeerCall(outcome),
+    });
+    this.#store = store;
     this.#cluster = new ClusterState({
       clock,
       log,
       self: id,
       store: new RelayedStore({
-        store,
+        store: direct,
         peers: this.#peers,
         log,
-        watchers: () => this.#placement.watchersToQuery(),
+        sources: () => this.#placement.feedSources(),
       }),
       metrics,
       decode: options.decode,
@@ -184,6 +200,7 @@
       dataCentre: options.dataCentre,
       clusterState: this.#cluster,
       homeMonitor: this.#homeMonitor,
+      storeAccess,
     });
     this.#lease = new MemberLease({
       store,
@@ -234,6 +251,7 @@
         ...this.#homes.handlers,
         [PING_METHOD, async () => true],
         [RELAY_METHOD, async body => this.#cluster.relay.serve(body)],
+        [STORE_CALL_METHOD, body => store.serve(body)],
         ...this.#budgets.handlers,
         ...this.#handover.handlers,
       ]),
--- a/src/node/work-placement.ts
+++ b/src/node/work-placement.ts
@@ -2,13 +2,20 @@
 import type {Catalog, Consistency} from '../catalog/types.js';
 import {peerAddressOf} from '../fleet/member-list.js';
 import type {FleetMember} from '../fleet/member-record.js';
+import type {StoreAccess} from '../fleet/store-access.js';
 import {chooseWatchers, orderWatchers} from '../fleet/watchers.js';
 import type {HomeMonitor} from '../home/home-monitor.js';
+import {rankByRendezvous} from '../membership/rendezvous.js';
 import type {PeerAddress} from '../peers/types.js';
 import {chooseNearbyReader} from '../routing/nearby-reader.js';
 import type {Responsibility} from '../groups/failover-coordinator.js';
 import type {ClusterState} from './cluster-state.js';
 
+/** Watchers to try before the store is read directly. */
+const MAX_WATCHERS_TRIED = 2;
+/** Nodes besides the watchers that may call the store for another. */
+const MORE_HELPERS = 2;
+
 /** Dependencies of {@link WorkPlacement}. */
 export interface WorkPlacementOptions {
   readonly self: string;
@@ -16,6 +23,8 @@
   readonly clusterState: Pick<ClusterState, 'members' | 'entries'>;
   /** Reports which nodes have stopped answering. */
   readonly homeMonitor: Pick<HomeMonitor, 'isSilent'>;
+  /** Reports whether this node reaches the store. */
+  readonly storeAccess: Pick<StoreAccess, 'isFailing'>;
 }
 
 /**
@@ -104,14 +113,43 @@
     return false;
   }
 
-  /** Returns the watchers to query, without silent ones; none for a watcher itself. */
-  watchersToQuery(): readonly PeerAddress[] {
-    const {self: id, dataCentre, clusterState, homeMonitor} = this.#options;
+  /**
+   * Returns the nodes to read the store's changes from, the first to try first;
+   * none for a watcher that reaches the store itself.
+   */
+  feedSources(): readonly PeerAddress[] {
+    const {self, clusterState, storeAccess} = this.#options;
+    if (storeAccess.isFailing) return this.storeHelpers();
     const watchers = chooseWatchers(clusterState.members.live());
-    if (watchers.some(watcher => watcher.id === id)) return [];
-    return orderWatchers(watchers, {id, dataCentre})
-      .filter(watcher => !homeMonitor.isSilent(watcher.id))
-      .map(peerAddressOf);
+    if (watchers.some(({id}) => id === self)) return [];
+    const others = this.#orderOthers(watchers).slice(0, MAX_WATCHERS_TRIED);
+    return others.map(peerAddressOf);
+  }
+
+  /**
+   * Returns the nodes that may call the store for this one: the watchers, which
+   * call it most often, then any others.
+   */
+  storeHelpers(): readonly PeerAddress[] {
+    const live = this.#options.clusterState.members.live();
+    const watchers = chooseWatchers(live);
+    const rest = rankByRendezvous(
+      this.#options.self,
+      live.filter(member => !watchers.includes(member)),
+    );
+    const helpers = [
+      ...this.#orderOthers(watchers),
+      ...this.#orderOthers(rest.slice(0, MORE_HELPERS)),
+    ];
+    return helpers.map(peerAddressOf);
+  }
+
+  /** The other, responsive nodes of a list, the nearest first. */
+  #orderOthers(members: readonly FleetMember[]): readonly FleetMember[] {
+    const {self: id, dataCentre, homeMonitor} = this.#options;
+    return orderWatchers(members, {id, dataCentre}).filter(
+      member => member.id !== id && !homeMonitor.isSilent(member.id),
+    );
   }
 
   /** Returns the first node of an order that this node does not find silent. */
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -3,6 +3,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {FailoverAttemptOutcome} from '../groups/failover-coordinator.js';
 import type {HomeMetrics} from '../home/home-metrics.js';
+import type {PeerCallOutcome} from '../fleet/peer-backed-store.js';
 import type {EraMetrics} from '../infra/era-checked-store.js';
 import type {RejectionMetrics} from '../node/cluster-state.js';
 
@@ -50,6 +51,7 @@
   readonly #drainAge: Histogram<'group'>;
   readonly #unacknowledged: Counter<'group'>;
   readonly #storeEra: Gauge;
+  readonly #peerCalls: Counter<'outcome'>;
   readonly #rejected: Counter<'reason'>;
 
   constructor() {
@@ -91,6 +93,12 @@
       help: 'How often the store was restored from a copy, by its last answer.',
       registers,
     });
+    this.#peerCalls = new Counter({
+      name: 'zinnia_store_calls_through_peers_total',
+      help: 'Store calls made through other nodes, by whether one could help.',
+      labelNames: ['outcome'],
+      registers,
+    });
     this.#rejected = new Counter({
       name: 'zinnia_store_rejected_total',
       help: 'Answers and values of the store that were older than known ones.',
@@ -117,6 +125,11 @@
     this.#unacknowledged.inc({group});
   }
 
+  /** Counts a store call that went through other nodes. */
+  recordPeerCall(outcome: PeerCallOutcome): void {
+    this.#peerCalls.inc({outcome});
+  }
+
   recordEra(era: number): void {
     this.#storeEra.set(era);
   }
