--- a/src/fleet/peer-backed-store.ts
+++ b/src/fleet/peer-backed-store.ts
@@ -31,8 +31,6 @@
 } from './store-call.js';
 import type {TrackedStore} from './tracked-store.js';
 
-/** Peers asked for one call. */
-const MAX_PEERS_ASKED = 3;
 /** Timeout of a peer, which calls the store in between. */
 const PEER_TIMEOUT_MS = 450;
 
@@ -44,7 +42,9 @@
   readonly direct: TrackedStore;
   readonly access: StoreAccess;
   readonly peers: PeerCaller;
-  /** Returns the peers to ask, those that most likely reach the store first. */
+  /**
+   * Returns the few peers to ask, those that most likely reach the store first.
+   */
   readonly helpers: () => readonly PeerAddress[];
   readonly log: Logger;
   readonly recordPeerCall: (outcome: PeerCallOutcome) => void;
@@ -165,11 +165,10 @@
   #helpers(): readonly PeerAddress[] {
     const helpers = this.#options.helpers();
     const isLast = ({id}: PeerAddress) => id === this.#helper;
-    const ordered = [
+    return [
       ...helpers.filter(isLast),
       ...helpers.filter(peer => !isLast(peer)),
     ];
-    return ordered.slice(0, MAX_PEERS_ASKED);
   }
 
   /**
--- a/src/node/work-placement.ts
+++ b/src/node/work-placement.ts
@@ -5,7 +5,6 @@
 import type {StoreAccess} from '../fleet/store-access.js';
 import {chooseWatchers, orderWatchers} from '../fleet/watchers.js';
 import type {HomeMonitor} from '../home/home-monitor.js';
-import {rankByRendezvous} from '../membership/rendezvous.js';
 import type {PeerAddress} from '../peers/types.js';
 import {chooseNearbyReader} from '../routing/nearby-reader.js';
 import type {Responsibility} from '../groups/failover-coordinator.js';
@@ -13,8 +12,8 @@
 
 /** Watchers to try before the store is read directly. */
 const MAX_WATCHERS_TRIED = 2;
-/** Nodes besides the watchers that may call the store for another. */
-const MORE_HELPERS = 2;
+/** Nodes that a node asks to call the store for it. */
+const MAX_HELPERS = 4;
 
 /** Dependencies of {@link WorkPlacement}. */
 export interface WorkPlacementOptions {
@@ -133,15 +132,12 @@
   storeHelpers(): readonly PeerAddress[] {
     const live = this.#options.clusterState.members.live();
     const watchers = chooseWatchers(live);
-    const rest = rankByRendezvous(
-      this.#options.self,
-      live.filter(member => !watchers.includes(member)),
-    );
+    const rest = live.filter(member => !watchers.includes(member));
     const helpers = [
       ...this.#orderOthers(watchers),
-      ...this.#orderOthers(rest.slice(0, MORE_HELPERS)),
+      ...this.#orderOthers(rest),
     ];
-    return helpers.map(peerAddressOf);
+    return helpers.slice(0, MAX_HELPERS).map(peerAddressOf);
   }
 
   /** The other, responsive nodes of a list, the nearest first. */
--- /dev/null
+++ b/test/node/work-placement.test.ts
@@ -0,0 +1,82 @@
+import {describe, expect, it} from 'vitest';
+import {MemberList} from '../../src/fleet/member-list.js';
+import type {FleetMember} from '../../src/fleet/member-record.js';
+import {chooseWatchers} from '../../src/fleet/watchers.js';
+import {WorkPlacement} from '../../src/node/work-placement.js';
+import {VirtualClock} from '../fakes/virtual-clock.js';
+
+const NODES = 10;
+const SELF = 'node-0';
+
+function createMember(n: number): FleetMember {
+  return {
+    id: `node-${n}`,
+    host: `10.0.0.${n}`,
+    port: 7000,
+    dataCentre: `dc-${n % 3}`,
+    instance: '1',
+    cores: 1,
+    isLeaving: false,
+  };
+}
+
+/** The placement of a node that reaches the store, or not, and some nodes. */
+function createPlacement(
+  silent: ReadonlySet<string>,
+  {isFailing = true, self = SELF} = {},
+) {
+  const members = new MemberList({
+    clock: new VirtualClock(),
+    mayHaveLapsed: () => false,
+  });
+  for (let n = 0; n < NODES; n++) members.apply(`node-${n}`, createMember(n));
+  const placement = new WorkPlacement({
+    self,
+    dataCentre: 'dc-0',
+    clusterState: {members, entries: []},
+    homeMonitor: {isSilent: id => silent.has(id)},
+    storeAccess: {isFailing},
+  });
+  return {placement, members};
+}
+
+const idsOf = (nodes: readonly {readonly id: string}[]) =>
+  nodes.map(({id}) => id).toSorted();
+
+describe('the nodes that call the store for another', () => {
+  it('are those that answer, however few are left', () => {
+    for (let a = 1; a < NODES; a++) {
+      const answering = [`node-${a}`, `node-${1 + (a % (NODES - 1))}`];
+      const silent = new Set(
+        Array.from({length: NODES}, (_, n) => `node-${n}`).filter(
+          id => id !== SELF && !answering.includes(id),
+        ),
+      );
+      const {placement} = createPlacement(silent);
+      expect(idsOf(placement.storeHelpers())).toEqual(answering.toSorted());
+    }
+  });
+
+  it('are few, and begin with those that poll the store', () => {
+    const {placement, members} = createPlacement(new Set());
+    const watchers = chooseWatchers(members.live()).filter(
+      ({id}) => id !== SELF,
+    );
+    const helpers = placement.storeHelpers();
+    expect(helpers.length).toBeLessThanOrEqual(4);
+    expect(idsOf(helpers.slice(0, watchers.length))).toEqual(idsOf(watchers));
+  });
+});
+
+describe('the nodes that a node reads the changes from', () => {
+  it('are none for a watcher, unless it does not reach the store', () => {
+    const {members} = createPlacement(new Set());
+    const [watcher] = chooseWatchers(members.live());
+    const self = watcher!.id;
+    const reaching = createPlacement(new Set(), {isFailing: false, self});
+    expect(reaching.placement.feedSources()).toEqual([]);
+    const failing = createPlacement(new Set(), {self});
+    expect(failing.placement.feedSources().length).toBeGreaterThan(0);
+    expect(idsOf(failing.placement.feedSources())).not.toContain(self);
+  });
+});
