--- a/src/fleet/member-lease.ts
+++ b/src/fleet/member-lease.ts
@@ -76,6 +76,8 @@
   #revision = 0;
   /** The store's era in which this node's record was last written. */
   #recordEra = 0;
+  /** The lease of the record; undefined while a write has not been answered. */
+  #recordLease: string | undefined;
   /** Whether the lease is one of a node with work. */
   #isShort: boolean;
   /** Since when that differs from what the node needs. */
@@ -200,8 +202,9 @@
       this.#clearLease();
       return this.#register();
     }
-    // The copy that the store was restored from may lack the latest record.
-    if (wasRestored) await this.#write(lease);
+    // The copy that the store was restored from may lack the latest record, and
+    // an unanswered write may have moved it to another lease.
+    if (wasRestored || this.#recordLease !== lease) await this.#write(lease);
     this.#renewedAt = sentAt;
     if (!wasHeld) this.#heldSince = clock.now();
   }
@@ -216,11 +219,13 @@
     const key = memberKey(self.id);
     const value = encodeMember(this.#self);
     let expected = this.#revision;
+    this.#recordLease = undefined;
     for (;;) {
       const result = await store.swap(key, expected, value, lease);
       if (result.kind === 'swapped') {
         this.#revision = result.at.revision;
         this.#recordEra = result.at.era;
+        this.#recordLease = lease;
         return;
       }
       // Written by an earlier process of this node, or by an earlier attempt
--- a/test/statements/member-lease.test.ts
+++ b/test/statements/member-lease.test.ts
@@ -2,6 +2,7 @@
 import {MemberLease} from '../../src/fleet/member-lease.js';
 import {MemberList} from '../../src/fleet/member-list.js';
 import type {FleetMember} from '../../src/fleet/member-record.js';
+import {StoreError} from '../../src/infra/store.js';
 import {createLogger} from '../../src/telemetry/log.js';
 import {FakeLeasedStore} from '../fakes/leased-store.js';
 import {VirtualClock} from '../fakes/virtual-clock.js';
@@ -80,6 +81,22 @@
     expect(lease.heldForMs).toBeGreaterThanOrEqual(heldFor + DAY_MS - STEP_MS);
   });
 
+  it('keeps the record in the store after an exchange whose answer was lost', async () => {
+    const {clock, store, lease, isRegistered} = createLease(() => true);
+    await clock.advance(1_000);
+    const swap = store.swap.bind(store);
+    store.swap = async (...args) => {
+      store.swap = swap;
+      await swap(...args);
+      throw new StoreError('unknown', 'the answer was lost');
+    };
+    for (let ms = 0; ms < DAY_MS; ms += STEP_MS) {
+      await clock.advance(STEP_MS);
+      if (lease.isHeld) expect(isRegistered()).toBe(true);
+    }
+    expect(lease.isHeld).toBe(true);
+  });
+
   it('is relied on no longer by a node without work than by others', async () => {
     const {clock, lease, store} = createLease(() => false);
     await clock.advance(10_000);
