--- a/src/groups/primary-handover.ts
+++ b/src/groups/primary-handover.ts
@@ -9,10 +9,10 @@
 import type {PeerAddress, PeerCaller, PeerHandler} from '../peers/types.js';
 import type {Logger} from '../telemetry/log.js';
 import {
-  decodeOrder,
   encodeOrder,
   orderKey,
   orderSchema,
+  readOrder,
   type PrimaryOrder,
 } from './primary-order.js';
 import {decodeHolder, rightsPrefix} from './primary-right-record.js';
@@ -100,15 +100,12 @@
 
   async record(group: string, order: PrimaryOrder): Promise<RecordOutcome> {
     const {store, rights, log} = this.#options;
-    const key = orderKey(group);
     try {
-      const {values} = await store.list(key);
-      const stored = values.find(value => value.key === key);
-      const known = decodeOrder(stored?.value);
+      const {order: known, revision} = await readOrder(store, group);
       if (known !== undefined) rights.observe(group, known);
       if (known !== undefined && known.token > order.token) return 'superseded';
-      const expected = stored?.revision ?? 0;
-      const result = await store.swap(key, expected, encodeOrder(order));
+      const key = orderKey(group);
+      const result = await store.swap(key, revision, encodeOrder(order));
       if (result.kind === 'conflict') return 'superseded';
       return rights.observe(group, order) ? 'recorded' : 'superseded';
     } catch (err) {
--- a/src/groups/primary-order.ts
+++ b/src/groups/primary-order.ts
@@ -6,6 +6,7 @@
  * serve as primary from then on.
  */
 import * as z from 'zod';
+import type {LeasedStore} from '../infra/leased-store.js';
 
 /** Key prefix of the orders; the group's name follows. */
 export const ORDER_PREFIX = 'zinnia/primaries/';
@@ -63,3 +64,35 @@
     return undefined;
   }
 }
+
+/** A group's order in the store. */
+export interface StoredOrder {
+  /** Undefined if there is none or it is malformed. */
+  readonly order: PrimaryOrder | undefined;
+  /** Revision of the key; 0 if it is missing. */
+  readonly revision: number;
+  /** The store's era when it was read. */
+  readonly era: number;
+}
+
+/**
+ * Reads a group's order from the store.
+ *
+ * @example
+ * const {order, revision} = await readOrder(store, 'claims');
+ *
+ * @throws StoreError if the store fails
+ */
+export async function readOrder(
+  store: Pick<LeasedStore, 'list'>,
+  group: string,
+): Promise<StoredOrder> {
+  const key = orderKey(group);
+  const {values, asOf} = await store.list(key);
+  const stored = values.find(value => value.key === key);
+  return {
+    order: decodeOrder(stored?.value),
+    revision: stored?.revision ?? 0,
+    era: asOf.era,
+  };
+}
--- a/src/groups/primary-rights.ts
+++ b/src/groups/primary-rights.ts
@@ -24,9 +24,9 @@
 import type {PeerAddress} from '../peers/types.js';
 import type {Logger} from '../telemetry/log.js';
 import {
-  decodeOrder,
   encodeOrder,
   orderKey,
+  readOrder,
   type PrimaryOrder,
 } from './primary-order.js';
 import {encodeHolder, rightKey} from './primary-right-record.js';
@@ -322,15 +322,12 @@
    */
   async #readOrder(group: string, era: number): Promise<void> {
     const {store} = this.#options;
-    const key = orderKey(group);
-    const {values, asOf} = await store.list(key);
-    if (asOf.era !== era) throw new StoreError('notSent', RESTORED);
-    const stored = values.find(value => value.key === key);
-    const order = decodeOrder(stored?.value);
+    const {order, revision, era: readIn} = await readOrder(store, group);
+    if (readIn !== era) throw new StoreError('notSent', RESTORED);
     if (order !== undefined) this.observe(group, order);
     const known = this.#orders.get(group);
     if (known === undefined || known.token <= (order?.token ?? 0)) return;
-    await store.swap(key, stored?.revision ?? 0, encodeOrder(known));
+    await store.swap(orderKey(group), revision, encodeOrder(known));
   }
 
   async #ensureLease(): Promise<NodeLease> {
