--- a/src/groups/primary-rights.ts
+++ b/src/groups/primary-rights.ts
@@ -83,7 +83,7 @@
 }
 
 /** This node's right to one group. */
-interface GroupRight {
+interface HeldRight {
   lease: NodeLease;
   revision: number;
   /** Rises with each hand-back, which ends the claims given before. */
@@ -110,7 +110,7 @@
 export class PrimaryRights {
   readonly #options: PrimaryRightsOptions;
   readonly #orders = new Map<string, PrimaryOrder>();
-  readonly #rights = new Map<string, GroupRight>();
+  readonly #rights = new Map<string, HeldRight>();
   readonly #acquiring = new Map<string, Promise<boolean>>();
   /** Earliest time to ask again after a failure, by group. */
   readonly #retryAt = new Map<string, number>();
