--- a/src/fleet/peer-backed-store.ts
+++ b/src/fleet/peer-backed-store.ts
@@ -73,22 +73,19 @@
     return this.#options.direct.era;
   }
 
-  async list(prefix: string): Promise<Snapshot> {
+  list(prefix: string): Promise<Snapshot> {
     return this.#run({op: 'list', prefix}, ({asOf}) => asOf.era);
   }
 
-  async swap(
+  swap(
     key: string,
     expected: number,
     value: string | undefined,
     lease?: string,
   ): Promise<LeasedSwapResult> {
-    const result = await this.#run(
-      {op: 'swap', key, expected, value, lease},
-      swapped => (swapped.kind === 'swapped' ? swapped.at.era : swapped.era),
+    return this.#run({op: 'swap', key, expected, value, lease}, result =>
+      result.kind === 'swapped' ? result.at.era : result.era,
     );
-    if (result.kind === 'swapped') return result;
-    return {...result, current: result.current};
   }
 
   grant(ttlMs: number): Promise<Lease> {
--- a/src/fleet/store-call.ts
+++ b/src/fleet/store-call.ts
@@ -77,11 +77,6 @@
   (typeof RESULT_SCHEMAS)[Op]
 >;
 
-/** Decodes a call; throws if it is malformed. */
-export function decodeStoreCall(body: unknown): StoreCall {
-  return callSchema.parse(body);
-}
-
 /** Decodes a reply; throws if it is malformed. */
 export function decodeStoreCallReply(body: unknown): StoreCallReply {
   return replySchema.parse(body);
@@ -121,7 +116,7 @@
   store: CallableStore,
   body: unknown,
 ): Promise<StoreCallReply> {
-  const call = decodeStoreCall(body);
+  const call = callSchema.parse(body);
   try {
     return {kind: 'done', result: await runStoreCall(store, call)};
   } catch (err) {
--- a/src/infra/leased-store.ts
+++ b/src/infra/leased-store.ts
@@ -38,7 +38,8 @@
   | {readonly kind: 'swapped'; readonly at: StorePosition}
   | {
       readonly kind: 'conflict';
-      readonly current: StoredValue | undefined;
+      /** Missing if the key is. */
+      readonly current?: StoredValue | undefined;
       readonly era: number;
     };
 
