--- a/src/fleet/relayed-store.ts
+++ b/src/fleet/relayed-store.ts
@@ -51,7 +51,7 @@
   }
 
   async list(prefix: string): Promise<Snapshot> {
-    const changes = await this.#requestFromWatchers(undefined);
+    const changes = await this.#requestFromSources(undefined);
     if (changes === undefined) return this.#options.store.list(prefix);
     const {events, ...rest} = changes;
     const values = events.flatMap(({key, value, revision}) =>
@@ -65,29 +65,29 @@
     after: StorePosition,
     waitMs: number,
   ): Promise<ChangeSet> {
-    const changes = await this.#requestFromWatchers(after);
+    const changes = await this.#requestFromSources(after);
     return changes ?? this.#options.store.changes(prefix, after, waitMs);
   }
 
-  /** The first fresh answer of a watcher; undefined if there is none. */
-  async #requestFromWatchers(
+  /** The first fresh answer of a source; undefined if there is none. */
+  async #requestFromSources(
     after: StorePosition | undefined,
   ): Promise<ChangeSet | undefined> {
-    const watchers = this.#options.sources();
-    for (const watcher of watchers) {
-      const changes = await this.#requestFrom(watcher, after);
+    const sources = this.#options.sources();
+    for (const source of sources) {
+      const changes = await this.#requestFrom(source, after);
       if (changes === undefined) continue;
       const ageMs = Math.round(changes.ageMs ?? 0);
-      this.#setSource(watcher.id, `its answer is ${ageMs} ms old`);
+      this.#setSource(source.id, `its answer is ${ageMs} ms old`);
       return changes;
     }
-    this.#setSource('store', `${watchers.length} watchers gave no answer`);
+    this.#setSource('store', `${sources.length} watchers gave no answer`);
     return undefined;
   }
 
-  /** @throws HistoryGoneError if the watcher no longer has the changes after `after` */
+  /** @throws HistoryGoneError if the source no longer has the changes after `after` */
   async #requestFrom(
-    watcher: PeerAddress,
+    source: PeerAddress,
     after: StorePosition | undefined,
   ): Promise<ChangeSet | undefined> {
     const {peers, log, store} = this.#options;
@@ -96,13 +96,13 @@
     try {
       const body = encodeRelayRequest(after);
       changes = decodeRelayReply(
-        await peers.call(watcher, RELAY_METHOD, body, options),
+        await peers.call(source, RELAY_METHOD, body, options),
       );
-      // Throws if the watcher has not noticed a restore that this node has.
+      // Throws if the source has not noticed a restore that this node has.
       if (changes !== undefined) store.observe(changes.asOf.era, 'notSent');
     } catch (err) {
       log.info('watcherFailed', {
-        watcher: watcher.id,
+        watcher: source.id,
         message: err instanceof Error ? err.message : String(err),
       });
       return undefined;
@@ -110,7 +110,7 @@
     if (changes === undefined) throw new HistoryGoneError();
     const {ageMs = 0} = changes;
     if (ageMs <= MAX_RELAYED_AGE_MS) return changes;
-    log.info('watcherStale', {watcher: watcher.id, ageMs: Math.round(ageMs)});
+    log.info('watcherStale', {watcher: source.id, ageMs: Math.round(ageMs)});
     return undefined;
   }
 
--- a/src/quota/budget-holder.ts
+++ b/src/quota/budget-holder.ts
@@ -7,9 +7,9 @@
  * admitted without a call to the owner. A team that is spread over many holders
  * and asks each of them seldom gets a token for each operation: tokens that wait
  * for an operation that does not come would use its budget up. What a holder has
- * left goes back to the owner with the next request. While the owner can't be reached, the holder falls back to
- * its own fraction of the team's rate for a limited time; all holders together
- * stay within the rate.
+ * left goes back to the owner with the next request. While the owner can't be
+ * reached, the holder falls back to its own fraction of the team's rate for a
+ * limited time; all holders together stay within the rate.
  */
 import {DemandMeter} from '../admission/demand-meter.js';
 import {TokenBucket} from '../admission/token-bucket.js';
