--- a/src/admission/owner-client.ts
+++ b/src/admission/owner-client.ts
@@ -129,7 +129,7 @@
       case 'granted':
         roleTransition.observeOwner(reply.epoch, reply.owner);
         if (!holder.acceptGrant(reply, ownership.epoch)) return;
-        schedule.answered(reply.askAgainMs, reply.retryAfterMs);
+        schedule.answered(reply);
         return;
       case 'void':
         if (reply.epoch < ownership.epoch) return;
--- a/src/admission/recalls.ts
+++ b/src/admission/recalls.ts
@@ -49,11 +49,21 @@
   readonly #reportRequestedAtMs = new Map<string, number>();
   #round: Promise<void> | undefined;
   #nextRoundAtMs = -Infinity;
+  /** Number of holders that did not answer in the last round. */
+  #unanswered = 0;
 
   constructor(deps: RecallsDeps) {
     this.#deps = deps;
   }
 
+  /**
+   * Whether a holder did not answer the last round in time. It may be busy and
+   * have tokens, so the budget is not known to be used up.
+   */
+  get hasUnansweredRecalls(): boolean {
+    return this.#unanswered > 0;
+  }
+
   /**
    * Recalls tokens from the holders with most of them, unless the pool already
    * has `wanted`.
@@ -85,6 +95,7 @@
   async #runRound(wanted: number, except?: string): Promise<void> {
     const {clock, tokens, totalDemand} = this.#deps;
     const before = tokens();
+    this.#unanswered = 0;
     const missing = wanted + totalDemand() * RECALL_PREFETCH_S - before;
     await Promise.all(
       this.#holdersToRecall(except).map(holder =>
@@ -133,6 +144,7 @@
       if (reply.kind === 'returned') this.#deps.count(reply.sync);
     } catch {
       // The holder's next sync reports what it holds.
+      this.#unanswered += 1;
     }
   }
 
--- a/src/admission/sync-schedule.ts
+++ b/src/admission/sync-schedule.ts
@@ -4,6 +4,7 @@
 import type {DemandMeter} from './demand-meter.js';
 import {isEmptyShare} from './share.js';
 import type {SyncPurpose, TeamHolder} from './team-holder.js';
+import type {GrantReply} from './types.js';
 
 /** A holder without demand for this long returns its share. */
 const RELEASE_AFTER_MS = 2_000;
@@ -47,6 +48,7 @@
   #tokenDueAtMs = -Infinity;
   #failures = 0;
   #answeredAtMs = -Infinity;
+  #isUncertain = false;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -68,6 +70,14 @@
     return !this.isOwnerUnresponsive && this.#tokenDueAtMs !== -Infinity;
   }
 
+  /**
+   * True if the owner's last answer took all holders into account, and no
+   * message has failed since.
+   */
+  get isAnswerComplete(): boolean {
+    return this.hasOwnerAnswered && !this.#isUncertain;
+  }
+
   /** True if messages have failed since the owner last answered. */
   get isOwnerUnresponsive(): boolean {
     return this.#failures > 0;
@@ -86,9 +96,14 @@
   }
 
   /** Records that the owner granted the last message. */
-  answered(askAgainMs: number, retryAfterMs: number): void {
+  answered({
+    askAgainMs,
+    retryAfterMs,
+    isUncertain = false,
+  }: Pick<GrantReply, 'askAgainMs' | 'retryAfterMs' | 'isUncertain'>): void {
     const nowMs = this.#clock.now();
     this.#failures = 0;
+    this.#isUncertain = isUncertain;
     this.#answeredAtMs = nowMs;
     this.#nextRequestAtMs = nowMs + askAgainMs;
     this.#tokenDueAtMs = nowMs + retryAfterMs;
--- a/src/admission/team-owner.ts
+++ b/src/admission/team-owner.ts
@@ -100,6 +100,21 @@
     return this.#bucket.tokens;
   }
 
+  /** Whether a holder that may have tokens did not answer in time. */
+  get hasUnansweredRecalls(): boolean {
+    return this.#recalls.hasUnansweredRecalls;
+  }
+
+  /** Pause before tokens are requested again after too few were granted. */
+  get requestPauseMs(): number {
+    if (this.#isOverloaded()) return OVERLOAD_PAUSE_MS;
+    const dueMs = this.#bucket.msUntil(1);
+    return Math.min(
+      MAX_REQUEST_PAUSE_MS,
+      Math.max(MIN_REQUEST_PAUSE_MS, dueMs),
+    );
+  }
+
   /** The nodes that the ledger records as holding a share. */
   get holders(): readonly string[] {
     return [...this.#ledger.entries]
@@ -231,9 +246,9 @@
       share: this.#ledger.shareOf(sync.holder),
       tokens,
       target,
-      askAgainMs:
-        sync.waiting > tokens + sync.tokens ? this.#requestPauseMs() : 0,
+      askAgainMs: sync.waiting > tokens + sync.tokens ? this.requestPauseMs : 0,
       retryAfterMs: this.#retryAfterMs(),
+      isUncertain: this.hasUnansweredRecalls,
     };
   }
 
@@ -263,15 +278,6 @@
     return this.#demands.total + this.#deps.ownDemand();
   }
 
-  #requestPauseMs(): number {
-    if (this.#isOverloaded()) return OVERLOAD_PAUSE_MS;
-    const dueMs = this.#bucket.msUntil(1);
-    return Math.min(
-      MAX_REQUEST_PAUSE_MS,
-      Math.max(MIN_REQUEST_PAUSE_MS, dueMs),
-    );
-  }
-
   #isOverloaded(): boolean {
     return isOverloaded(this.#totalDemand(), this.#deps.limits());
   }
--- a/src/admission/token-acquirer.ts
+++ b/src/admission/token-acquirer.ts
@@ -12,6 +12,17 @@
  * mean that the team is over its rate: an owner without tokens replies at once.
  */
 const ACQUIRE_TIMEOUT_MS = 250;
+/**
+ * Maximum time that a statement waits in all. A holder that is briefly busy
+ * misses the time limit of a recall, and an owner that of a request, although
+ * the team is within its rate.
+ */
+const MAX_WAIT_MS = 2 * ACQUIRE_TIMEOUT_MS;
+/** Bounds the requests of one statement. */
+const MIN_RETRY_PAUSE_MS = 10;
+
+/** The outcome of one attempt to acquire a token. */
+type AcquireOutcome = 'acquired' | 'refused' | 'timedOut';
 
 /** Dependencies of a token acquirer. */
 export interface TokenAcquirerDeps {
@@ -39,20 +50,60 @@
   }
 
   /**
-   * Acquires a token from the owner or, while the owner does not answer, has
-   * another holder spend one. `trySpend` spends a token granted to this node.
-   * True if the statement may run.
+   * Acquires a token for a statement; true if the statement may run. Tries again
+   * for a limited time while it isn't known whether the budget has a token: a
+   * refusal would treat a team within its rate as one over it. `trySpend` spends
+   * a token granted to this node.
+   *
+   * @example
+   * const isAcquired = await acquirer.acquire(deadlineMs, () => bucket.trySpend(1));
    */
   async acquire(deadlineMs: number, trySpend: () => boolean): Promise<boolean> {
+    const {clock} = this.#deps;
+    const endMs = Math.min(deadlineMs, clock.now() + MAX_WAIT_MS);
+    for (;;) {
+      const outcome = await this.#tryAcquire(deadlineMs, trySpend);
+      if (outcome === 'acquired') return true;
+      const isUsedUp = outcome === 'refused' && this.#isUsedUp;
+      const pauseMs = this.#msUntilRetry();
+      if (isUsedUp || clock.now() + pauseMs >= endMs) return false;
+      await clock.sleep(pauseMs);
+      if (trySpend()) return true;
+    }
+  }
+
+  /** Whether the budget is known to have no token now. */
+  get #isUsedUp(): boolean {
+    const owner = this.#deps.owner();
+    if (owner !== undefined) return !owner.hasUnansweredRecalls;
+    return this.#deps.schedule.isAnswerComplete;
+  }
+
+  #msUntilRetry(): number {
+    const {owner, schedule} = this.#deps;
+    const requestMs =
+      owner()?.requestPauseMs ?? schedule.msUntilTokenExpected();
+    return Math.max(MIN_RETRY_PAUSE_MS, requestMs);
+  }
+
+  /**
+   * Acquires a token from the owner or, while the owner does not answer, has
+   * another holder spend one.
+   */
+  async #tryAcquire(
+    deadlineMs: number,
+    trySpend: () => boolean,
+  ): Promise<AcquireOutcome> {
     const {schedule} = this.#deps;
     const wasUnresponsive = schedule.isOwnerUnresponsive;
     const requested = this.#requestAndWait(deadlineMs);
     if (wasUnresponsive && (await this.#trySpendRemotely(deadlineMs)))
-      return true;
-    await requested;
-    if (trySpend()) return true;
-    if (wasUnresponsive || schedule.hasOwnerAnswered) return false;
-    return this.#trySpendRemotely(deadlineMs);
+      return 'acquired';
+    const isAnswered = await requested;
+    if (trySpend()) return 'acquired';
+    const failure = isAnswered ? 'refused' : 'timedOut';
+    if (wasUnresponsive || schedule.hasOwnerAnswered) return failure;
+    return (await this.#trySpendRemotely(deadlineMs)) ? 'acquired' : failure;
   }
 
   /**
@@ -67,16 +118,20 @@
     void ownerClient.sync('report', ACQUIRE_TIMEOUT_MS);
   }
 
-  /** Waits for a token request, which all blocked statements share. */
-  async #requestAndWait(deadlineMs: number): Promise<void> {
+  /**
+   * Waits for a token request, which all blocked statements share. False if its
+   * answer did not arrive in time.
+   */
+  async #requestAndWait(deadlineMs: number): Promise<boolean> {
     const {clock, schedule} = this.#deps;
     const waitMs = Math.min(ACQUIRE_TIMEOUT_MS, deadlineMs - clock.now());
-    if (waitMs <= 0 || !schedule.mayRequestTokens()) return;
+    if (waitMs <= 0 || !schedule.mayRequestTokens()) return true;
     this.#waiting += 1;
     const done = new AbortController();
     const requested = this.#requestTokens().finally(() => done.abort());
     await Promise.race([requested, clock.sleep(waitMs, done.signal)]);
     this.#waiting -= 1;
+    return done.signal.aborted;
   }
 
   async #trySpendRemotely(deadlineMs: number): Promise<boolean> {
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -155,6 +155,8 @@
   readonly askAgainMs: number;
   /** Expected time until the owner has a token. */
   readonly retryAfterMs: number;
+  /** Whether a holder that may have tokens did not answer the owner in time. */
+  readonly isUncertain?: boolean;
 }
 
 /** A reply of the peer method `budget`. */
--- a/test/admission/budget-service.test.ts
+++ b/test/admission/budget-service.test.ts
@@ -189,3 +189,39 @@
   expect(cluster.messages).toBe(before);
   await cluster.stop();
 });
+
+test.each([260, 400])(
+  'a team at a third of its rate is refused nothing while processes pause for %i ms',
+  async pauseMs => {
+    for (let seed = 1; seed <= 25; seed++) {
+      const limits = {a: {rate: 200, burst: 100}};
+      const cluster = new Cluster({nodes: 3, seed, limits});
+      pauseNodesInTurn(cluster, pauseMs);
+      for (const node of cluster.nodes) offerAtIntervals(cluster, node, 'a');
+      await cluster.time.advance(6_000);
+      expect(refusedRatio(cluster, 'a'), `seed ${seed}`).toBe(0);
+      await cluster.stop();
+    }
+  },
+);
+
+/** Pauses a random process at a time, with gaps of the same length. */
+function pauseNodesInTurn(cluster: Cluster, pauseMs: number): void {
+  const node = randomNode(cluster);
+  node?.clock.pause();
+  cluster.time.schedule(pauseMs, () => node?.clock.resume());
+  cluster.time.schedule(2 * pauseMs, () => pauseNodesInTurn(cluster, pauseMs));
+}
+
+/** Offers 20 statements a second; those of a pause are decided after it. */
+function offerAtIntervals(
+  cluster: Cluster,
+  node: ClusterNode,
+  team: string,
+): void {
+  const offer = () => {
+    node.clock.whenRunning(() => void cluster.admit(node, team));
+    cluster.time.schedule(200, offer);
+  };
+  for (const atMs of [5, 21, 37, 53]) cluster.time.schedule(atMs, offer);
+}
