--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -36,6 +36,7 @@
 import {runAtTicks} from '../infra/timer.js';
 import {PeerPool} from '../peers/peer-pool.js';
 import {PeerServer} from '../peers/peer-server.js';
+import {PeerTrafficTotals, type TrafficScope} from '../peers/peer-traffic.js';
 import type {PeerHandler} from '../peers/types.js';
 import {AccessGate, type Credentials} from '../sessions/access.js';
 import {
@@ -136,6 +137,7 @@
   readonly #clock = new SystemClock();
   readonly #stopping = new AbortController();
   readonly #peers: PeerPool;
+  readonly #traffic = new PeerTrafficTotals(peer => this.#scopeOf(peer));
   readonly #peerServer: PeerServer;
   readonly #store: PeerBackedStore;
   readonly #cluster: ClusterState;
@@ -168,6 +170,7 @@
       self: id,
       clock,
       connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
+      traffic: this.#traffic,
     });
     this.#homeMonitor = new HomeMonitor({clock, peers: this.#peers, log});
     const store = new PeerBackedStore({
@@ -247,6 +250,7 @@
       port: options.peerPort,
       self: id,
       clock,
+      traffic: this.#traffic,
       handlers: new Map<string, PeerHandler>([
         ...this.#homes.handlers,
         [PING_METHOD, async () => true],
@@ -265,6 +269,7 @@
       catalogVersion: () => this.#cluster.catalog.version,
       members: () => this.#cluster.members.live().length,
       homeActive: () => this.#homes.active,
+      peerTraffic: () => this.#traffic.totals(),
     };
   }
 
@@ -411,6 +416,13 @@
     this.#hasLearnt = true;
   }
 
+  #scopeOf(peer: string): TrafficScope {
+    const member = this.#cluster.members.find(peer);
+    if (member === undefined) return 'unknown';
+    const {dataCentre} = this.#options;
+    return member.dataCentre === dataCentre ? 'local' : 'remote';
+  }
+
   #createMember(): FleetMember {
     const {id, host, peerPort: port, dataCentre, cores} = this.#options;
     const instance = randomUUID().slice(0, 8);
--- a/src/peers/client-connection.ts
+++ b/src/peers/client-connection.ts
@@ -13,6 +13,7 @@
 import {PeerChannel} from './peer-channel.js';
 import {PendingCall} from './pending-call.js';
 import type {PeerLog} from './peer-log.js';
+import type {PeerTraffic} from './peer-traffic.js';
 import {PeerError, type CallOptions, type PeerAddress} from './types.js';
 
 /** Options of a {@link ClientConnection}. */
@@ -26,6 +27,7 @@
   /** Secret that all nodes share. */
   readonly peerSecret?: string;
   readonly log: PeerLog;
+  readonly traffic: PeerTraffic;
 }
 
 /** A connection that multiplexes concurrent calls. */
@@ -46,6 +48,7 @@
       clock: options.clock,
       maxFrameBytes: options.maxFrameBytes,
       log: options.log,
+      traffic: options.traffic,
       peer: id,
       sendsHeartbeats: true,
       recoveryHint: 'the next call reconnects',
@@ -109,7 +112,7 @@
     this.#lastUsedMs = this.#options.clock.now();
     this.#sendRequest(id, method, body);
     const call = new PendingCall(id, options, this.#options.clock, message =>
-      this.#channel.writer.write(message),
+      this.#channel.writer.write(message, method),
     );
     this.#calls.set(id, call);
     try {
@@ -139,7 +142,8 @@
   #sendRequest(id: number, method: string, body: unknown): void {
     let sentBytes = 0;
     try {
-      sentBytes = this.#channel.writer.write({kind: 'req', id, method, body});
+      const request = {kind: 'req', id, method, body};
+      sentBytes = this.#channel.writer.write(request, method);
     } catch (err) {
       throw new PeerError('notSent', `can't encode ${method}: ${String(err)}`);
     }
--- a/src/peers/frame-writer.ts
+++ b/src/peers/frame-writer.ts
@@ -2,17 +2,25 @@
 
 import type {Socket} from 'node:net';
 import {encodeFrame} from './framing.js';
+import {CONNECTION_METHOD} from './peer-traffic.js';
 
 /** Sending side of a connection. */
 export class FrameWriter {
   readonly #socket: Socket;
   readonly #maxFrameBytes: number;
+  readonly #onSent: (method: string, bytes: number) => void;
   #corked = false;
   #framesSent = 0;
 
-  constructor(socket: Socket, maxFrameBytes: number) {
+  /** @param onSent Called with the size of each frame and its method. */
+  constructor(
+    socket: Socket,
+    maxFrameBytes: number,
+    onSent: (method: string, bytes: number) => void = () => {},
+  ) {
     this.#socket = socket;
     this.#maxFrameBytes = maxFrameBytes;
+    this.#onSent = onSent;
   }
 
   /** Number of frames written so far. */
@@ -27,14 +35,16 @@
 
   /**
    * Writes a frame; returns its size, or 0 if the socket is closed. Throws
-   * without writing anything if the value can't be encoded.
+   * without writing anything if the value can't be encoded. `method` names the
+   * call that the frame belongs to.
    */
-  write(value: unknown): number {
+  write(value: unknown, method = CONNECTION_METHOD): number {
     const frame = encodeFrame(value, this.#maxFrameBytes);
     if (!this.#socket.writable) return 0;
     this.#cork();
     this.#socket.write(frame);
     this.#framesSent++;
+    this.#onSent(method, frame.length);
     return frame.length;
   }
 
--- a/src/peers/peer-channel.ts
+++ b/src/peers/peer-channel.ts
@@ -7,6 +7,7 @@
 import {HANDSHAKE_MAX_FRAME_BYTES} from './handshake.js';
 import {readMessages, type ReceivedMessage} from './message-stream.js';
 import {logEventNameFor, type PeerLog} from './peer-log.js';
+import type {PeerTraffic} from './peer-traffic.js';
 import {SilenceMonitor} from './silence-monitor.js';
 
 /** Options of a {@link PeerChannel}. */
@@ -14,6 +15,7 @@
   readonly clock: Clock;
   readonly maxFrameBytes: number;
   readonly log: PeerLog;
+  readonly traffic: PeerTraffic;
   /** Id of the other node, or its address until the handshake is done. */
   readonly peer: string;
   readonly sendsHeartbeats: boolean;
@@ -49,7 +51,9 @@
     this.#options = options;
     this.peer = peer;
     socket.on('error', () => {});
-    const writer = new FrameWriter(socket, maxFrameBytes);
+    const writer = new FrameWriter(socket, maxFrameBytes, (method, bytes) =>
+      options.traffic.recordSent(this.peer, method, bytes),
+    );
     const onSilent = () => this.#onSilent();
     this.writer = writer;
     this.#monitor = new SilenceMonitor({
--- a/src/peers/peer-pool.ts
+++ b/src/peers/peer-pool.ts
@@ -3,6 +3,7 @@
 import {SystemClock, type Clock} from '../infra/clock.js';
 import {DEFAULT_MAX_FRAME_BYTES} from './framing.js';
 import {ignorePeerLog, type PeerLog} from './peer-log.js';
+import {ignorePeerTraffic, type PeerTraffic} from './peer-traffic.js';
 import {
   ClientConnection,
   type ClientConnectionOptions,
@@ -51,6 +52,8 @@
   readonly idleCloseMs?: number;
   readonly maxFrameBytes?: number;
   readonly log?: PeerLog;
+  /** Counts the bytes sent. */
+  readonly traffic?: PeerTraffic;
 }
 
 interface PoolEntry {
@@ -84,6 +87,7 @@
       maxFrameBytes: options.maxFrameBytes ?? DEFAULT_MAX_FRAME_BYTES,
       peerSecret: options.peerSecret,
       log: options.log ?? ignorePeerLog,
+      traffic: options.traffic ?? ignorePeerTraffic,
     };
   }
 
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -4,6 +4,7 @@
 import {SystemClock, type Clock} from '../infra/clock.js';
 import {DEFAULT_MAX_FRAME_BYTES} from './framing.js';
 import {ignorePeerLog, type PeerLog} from './peer-log.js';
+import {ignorePeerTraffic, type PeerTraffic} from './peer-traffic.js';
 import {ServerConnection} from './server-connection.js';
 import type {PeerAddress, PeerHandler} from './types.js';
 
@@ -24,6 +25,8 @@
   readonly clock?: Clock;
   readonly maxFrameBytes?: number;
   readonly log?: PeerLog;
+  /** Counts the bytes sent. */
+  readonly traffic?: PeerTraffic;
 }
 
 /** TCP server for calls from other nodes. */
@@ -47,6 +50,7 @@
           maxFrameBytes: options.maxFrameBytes ?? DEFAULT_MAX_FRAME_BYTES,
           peerSecret: options.peerSecret,
           log: options.log ?? ignorePeerLog,
+          traffic: options.traffic ?? ignorePeerTraffic,
         }),
       ),
     );
--- a/src/peers/server-connection.ts
+++ b/src/peers/server-connection.ts
@@ -17,6 +17,7 @@
 } from './messages.js';
 import {PeerChannel} from './peer-channel.js';
 import type {PeerLog} from './peer-log.js';
+import type {PeerTraffic} from './peer-traffic.js';
 import {RunningCall} from './running-call.js';
 import type {PeerHandler} from './types.js';
 
@@ -38,6 +39,7 @@
   readonly maxFrameBytes: number;
   readonly peerSecret?: string;
   readonly log: PeerLog;
+  readonly traffic: PeerTraffic;
 }
 
 /** Serves the calls of one connection, concurrently. */
@@ -53,6 +55,7 @@
       clock: options.clock,
       maxFrameBytes: options.maxFrameBytes,
       log: options.log,
+      traffic: options.traffic,
       peer: `${socket.remoteAddress}:${socket.remotePort}`,
       sendsHeartbeats: false,
       recoveryHint: 'the other node reconnects',
@@ -133,21 +136,20 @@
     if (this.#runningCalls.has(id)) {
       return this.close(`caller used the call id ${id} twice`);
     }
-    const call = new RunningCall(this.#channel.peer, part =>
-      this.#channel.writer.write({kind: 'part', id, body: part}),
+    const {writer, peer} = this.#channel;
+    const call = new RunningCall(peer, part =>
+      writer.write({kind: 'part', id, body: part}, method),
     );
     this.#runningCalls.set(id, call);
     try {
       const result = await this.#callHandler(method, body, call);
       if (call.signal.aborted) return;
-      this.#channel.writer.write({kind: 'res', id, body: result});
+      writer.write({kind: 'res', id, body: result}, method);
     } catch (err) {
       if (call.signal.aborted) return;
-      this.#channel.writer.write({
-        kind: 'err',
-        id,
-        message: errorMessageOf(err),
-      });
+      // The name of an unknown method is not used as a label of a metric.
+      const label = this.#options.handlers.has(method) ? method : undefined;
+      writer.write({kind: 'err', id, message: errorMessageOf(err)}, label);
     } finally {
       this.#runningCalls.delete(id);
     }
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -4,6 +4,7 @@
 import type {FailoverAttemptOutcome} from '../groups/failover-coordinator.js';
 import type {HomeMetrics} from '../home/home-metrics.js';
 import type {PeerCallOutcome} from '../fleet/peer-backed-store.js';
+import type {TrafficTotal} from '../peers/peer-traffic.js';
 import type {EraMetrics} from '../infra/era-checked-store.js';
 import type {RejectionMetrics} from '../node/cluster-state.js';
 
@@ -34,6 +35,8 @@
   readonly members: () => number;
   /** Statements and open transactions at the homes that this node runs. */
   readonly homeActive: () => number;
+  /** Bytes sent to other nodes so far. */
+  readonly peerTraffic: () => readonly TrafficTotal[];
 }
 
 /**
@@ -172,6 +175,18 @@
       'Statements and open transactions at the homes here.',
       gauges.homeActive,
     );
+    new Counter({
+      name: 'zinnia_peer_bytes_total',
+      help: 'Bytes sent to other nodes, by method and whether they leave the data centre.',
+      labelNames: ['method', 'scope'],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const {method, scope, bytes} of gauges.peerTraffic()) {
+          this.inc({method, scope}, bytes);
+        }
+      },
+    });
   }
 
   /** Serves the metrics over HTTP; rejects if the port can't be bound. */
