--- a/src/fleet/feed-relay.ts
+++ b/src/fleet/feed-relay.ts
@@ -1,72 +1,35 @@
 /** Relays the store's changes from a watcher to the other nodes. */
-import * as z from 'zod';
 import type {Clock} from '../infra/clock.js';
-import type {ChangeSet} from '../infra/leased-store.js';
 import {
   compareStorePositions,
   HISTORY_START,
   type StorePosition,
 } from '../infra/store-position.js';
+import {
+  compressValue,
+  type CompressedValue,
+  decodeRelayRequest,
+  type RelayReply,
+  type RelayRequest,
+  type SentChanges,
+  type SentValue,
+} from './relay-messages.js';
 import type {FeedChange, StoreFeed} from './store-feed.js';
 
-/** Peer method by which nodes request changes from a watcher. */
-export const RELAY_METHOD = 'feed.changes';
 /** Removals are kept for longer than a running node goes between two requests. */
 const REMOVAL_RETENTION_MS = 60_000;
 
-const requestSchema = z.object({
-  after: z.int().optional(),
-  /** Era of `after`; a store without eras is in era 0. */
-  era: z.int().default(0),
-});
-const replySchema = z.union([
-  z.object({isGone: z.literal(true)}),
-  z.object({
-    changes: z.array(
-      z.tuple([z.string(), z.union([z.string(), z.null()]), z.int()]),
-    ),
-    asOf: z.int(),
-    era: z.int().default(0),
-    ageMs: z.number(),
-    interruptedMsAgo: z.union([z.number(), z.null()]),
-  }),
-]);
-
-/** A watcher's reply. */
-export type RelayReply = z.infer<typeof replySchema>;
+/** A recorded change and its compressed value, if a requester has needed it. */
+interface RecordedChange extends FeedChange {
+  compressed?: CompressedValue | undefined;
+}
 
 /** The part of the node's own store feed that the relay reads. */
 export type RelayedFeed = Pick<
   StoreFeed,
-  'ageMs' | 'confirmedPosition' | 'sinceInterruptionMs'
+  'ageMs' | 'confirmedPosition' | 'latestPosition' | 'sinceInterruptionMs'
 >;
 
-/**
- * Decodes a watcher's reply; undefined if the watcher no longer has the
- * requested history. Throws if the reply is malformed.
- */
-export function decodeRelayReply(body: unknown): ChangeSet | undefined {
-  const reply = replySchema.parse(body);
-  if ('isGone' in reply) return undefined;
-  const {changes, asOf: revision, era, ageMs, interruptedMsAgo} = reply;
-  const events = changes.map(([key, value, revision]) => ({
-    key,
-    value: value ?? undefined,
-    revision,
-  }));
-  return {
-    events,
-    asOf: {era, revision},
-    ageMs,
-    interruptedMsAgo: interruptedMsAgo ?? undefined,
-  };
-}
-
-/** Encodes a request for the changes after a position, or for all values. */
-export function encodeRelayRequest(after: StorePosition | undefined): unknown {
-  return after === undefined ? {} : {after: after.revision, era: after.era};
-}
-
 /**
  * Keeps the latest change of each key and serves it to the other nodes. The
  * caller leaves out renewals that change no value: they are most of the
@@ -79,7 +42,7 @@
 export class FeedRelay {
   readonly #clock: Clock;
   readonly #feed: RelayedFeed;
-  readonly #changes = new Map<string, FeedChange>();
+  readonly #changes = new Map<string, RecordedChange>();
   readonly #removedAt = new Map<string, number>();
   /** Removals up to this position may have been discarded. */
   #compacted = HISTORY_START;
@@ -91,7 +54,7 @@
 
   /** Records a change of a key's value. */
   recordChange(change: FeedChange): void {
-    this.#changes.set(change.key, change);
+    this.#changes.set(change.key, {...change});
     if (change.value !== undefined) this.#removedAt.delete(change.key);
     else this.#removedAt.set(change.key, this.#clock.now());
   }
@@ -112,13 +75,16 @@
 
   /**
    * Returns the changes after the requested revision, or all current values if
-   * the request names none.
+   * the request names none. Of changes that the requester should have been sent
+   * before, it names key and revision only, and the requester requests in full
+   * what it lacks.
    *
    * @throws Error while this node's copy of the store is incomplete: before its
    *   first read, or after the store discarded the history it needed
    */
   serve(body: unknown): RelayReply {
-    const {after: revision, era: requestedEra} = requestSchema.parse(body);
+    const request = decodeRelayRequest(body);
+    const {after: revision, era: requestedEra} = request;
     const asOf = this.#feed.confirmedPosition;
     if (asOf === undefined) throw new Error('this node has no picture yet');
     this.#compactRemovals();
@@ -127,25 +93,44 @@
     if (after !== undefined && !this.#hasChangesAfter(after, asOf)) {
       return {isGone: true};
     }
-    const changes = [...this.#changes.values()]
-      .filter(({at}) => compareStorePositions(at, after ?? HISTORY_START) > 0)
-      .filter(({value}) => after !== undefined || value !== undefined)
-      .toSorted((a, b) => compareStorePositions(a.at, b.at))
-      .map(({key, value, at}): [string, string | null, number] => [
-        key,
-        value ?? null,
-        at.revision,
-      ]);
     const sinceMs = this.#feed.sinceInterruptionMs();
     return {
-      changes,
+      ...this.#select(request, after),
       asOf: asOf.revision,
+      upTo: (this.#feed.latestPosition ?? asOf).revision,
       era: asOf.era,
       ageMs: this.#feed.ageMs(),
       interruptedMsAgo: Number.isFinite(sinceMs) ? sinceMs : null,
     };
   }
 
+  /** The changes to send in full, and those to name by key and revision. */
+  #select(
+    {keys, known, era, deflate}: RelayRequest,
+    after: StorePosition | undefined,
+  ): SentChanges {
+    const selected = [...this.#changes.values()]
+      .filter(({key}) => keys === undefined || keys.includes(key))
+      .filter(({at}) => compareStorePositions(at, after ?? HISTORY_START) > 0)
+      .filter(({value}) => after !== undefined || value !== undefined)
+      .toSorted((a, b) => compareStorePositions(a.at, b.at));
+    // A removal is as short as its mention.
+    const isHeld = ({at, value}: FeedChange) =>
+      value !== undefined &&
+      known !== undefined &&
+      compareStorePositions(at, {era, revision: known}) <= 0;
+    return {
+      changes: selected
+        .filter(change => !isHeld(change))
+        .map(change => [
+          change.key,
+          valueToSend(change, deflate),
+          change.at.revision,
+        ]),
+      held: selected.filter(isHeld).map(({key, at}) => [key, at.revision]),
+    };
+  }
+
   /** False if the requester must list everything. */
   #hasChangesAfter(after: StorePosition, asOf: StorePosition): boolean {
     if (after.era < asOf.era) return false;
@@ -165,3 +150,12 @@
     }
   }
 }
+
+/** Compresses each value once, however many nodes request it. */
+function valueToSend(change: RecordedChange, deflate: boolean): SentValue {
+  const {value} = change;
+  if (value === undefined) return null;
+  if (!deflate) return value;
+  change.compressed ??= compressValue(value);
+  return change.compressed ?? value;
+}
--- a/src/fleet/store-feed.ts
+++ b/src/fleet/store-feed.ts
@@ -15,8 +15,9 @@
 import type {Clock} from '../infra/clock.js';
 import {
   HistoryGoneError,
-  type RelayFreshness,
+  type ChangeSet,
   type LeasedStore,
+  type RelayFreshness,
 } from '../infra/leased-store.js';
 import type {StoredValue} from '../infra/store.js';
 import {
@@ -59,9 +60,28 @@
   readonly at: StorePosition;
 }
 
+/** What a feed has received; a source needn't send it again. */
+export interface ReceivedChanges {
+  /** Changes up to this position were included in earlier answers. */
+  readonly known: StorePosition;
+  /** Whether the feed has received this change of a key, or a later one. */
+  has(key: string, at: StorePosition): boolean;
+}
+
+/** Source of a feed: the store, or another node that relays its changes. */
+export interface FeedSource extends Pick<LeasedStore, 'list'> {
+  /** As `LeasedStore.changes`; may leave out changes that were received. */
+  changes(
+    prefix: string,
+    after: StorePosition,
+    waitMs: number,
+    received: ReceivedChanges,
+  ): Promise<ChangeSet>;
+}
+
 /** Dependencies and settings of {@link StoreFeed}. */
 export interface StoreFeedOptions {
-  readonly store: Pick<LeasedStore, 'list' | 'changes'>;
+  readonly store: FeedSource;
   readonly clock: Clock;
   readonly log: Logger;
   /** Prefix of the keys to replicate. */
@@ -88,6 +108,8 @@
   #isFailing = false;
   /** Position of the last answer. */
   #lastAsOf: StorePosition | undefined;
+  /** Latest position up to which answers of this era included changes. */
+  #latest: StorePosition | undefined;
   #startedAtMs = 0;
 
   constructor(options: StoreFeedOptions) {
@@ -108,6 +130,11 @@
     return this.#covered[0]?.asOf;
   }
 
+  /** The latest position that the copy's changes may have. */
+  get latestPosition(): StorePosition | undefined {
+    return this.#latest;
+  }
+
   /**
    * Milliseconds since a poll last failed, by this node or by the watcher that
    * it reads from; infinite if none did.
@@ -170,7 +197,8 @@
     this.#noticeRestore(asOf);
     this.#replaceAll(values, asOf);
     this.#covered.length = 0;
-    this.#recordCovered(asOf);
+    this.#latest = undefined;
+    this.#recordCovered(asOf, relayInfo);
     this.#recordConfirmation(sentAt, relayInfo);
   }
 
@@ -183,17 +211,20 @@
       prefix,
       after,
       waitMs,
+      {known: this.#latest ?? after, has: (key, at) => this.#has(key, at)},
     );
     // Revisions of another era don't continue from `after`.
     if (asOf.era !== after.era) throw new HistoryGoneError();
     for (const {key, value, revision} of events) {
       this.#apply({key, value, at: {era: asOf.era, revision}});
     }
-    this.#recordCovered(asOf);
+    this.#recordCovered(asOf, relayInfo);
     this.#recordConfirmation(sentAt, relayInfo);
   }
 
-  #recordCovered(asOf: StorePosition): void {
+  #recordCovered(asOf: StorePosition, {upTo = asOf}: RelayFreshness): void {
+    const latest = this.#latest ?? upTo;
+    this.#latest = compareStorePositions(upTo, latest) > 0 ? upTo : latest;
     const at = this.#options.clock.now();
     this.#covered.push({asOf, at});
     this.#lastAsOf = asOf;
@@ -248,12 +279,16 @@
 
   #apply(change: FeedChange): void {
     const {key, at} = change;
-    const known = this.#positions.get(key) ?? HISTORY_START;
-    if (compareStorePositions(at, known) <= 0) return;
+    if (this.#has(key, at)) return;
     this.#positions.set(key, at);
     this.#options.onChange(change);
   }
 
+  #has(key: string, at: StorePosition): boolean {
+    const known = this.#positions.get(key) ?? HISTORY_START;
+    return compareStorePositions(at, known) <= 0;
+  }
+
   #recordSuccess(): void {
     if (!this.#isFailing) return;
     this.#isFailing = false;
--- a/src/infra/leased-store.ts
+++ b/src/infra/leased-store.ts
@@ -2,8 +2,10 @@
 import type {StoredValue, WatchEvent} from './store.js';
 import type {StorePosition} from './store-position.js';
 
-/** Age of an answer that another node relayed from the store. */
+/** Properties of an answer that another node relayed from the store. */
 export interface RelayFreshness {
+  /** Position up to which later changes may be included; `asOf` if absent. */
+  readonly upTo?: StorePosition | undefined;
   /** Age of the answer when it was relayed, in milliseconds. */
   readonly ageMs?: number | undefined;
   /** Time since the relaying node last failed to read the store, if ever. */
--- a/src/node/cluster-state.ts
+++ b/src/node/cluster-state.ts
@@ -24,9 +24,13 @@
   MEMBER_PREFIX,
   type FleetMember,
 } from '../fleet/member-record.js';
-import {StoreFeed, type FeedChange} from '../fleet/store-feed.js';
+import {
+  StoreFeed,
+  type FeedChange,
+  type FeedSource,
+} from '../fleet/store-feed.js';
 import type {Clock} from '../infra/clock.js';
-import type {ChangeSet, LeasedStore} from '../infra/leased-store.js';
+import type {ChangeSet} from '../infra/leased-store.js';
 import type {StorePosition} from '../infra/store-position.js';
 import type {Logger} from '../telemetry/log.js';
 
@@ -66,7 +70,7 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly self: string;
-  readonly store: Pick<LeasedStore, 'list' | 'changes'>;
+  readonly store: FeedSource;
   readonly metrics: RejectionMetrics;
   /** Decodes a change of the store; undefined if the key is not relevant. */
   readonly decode: (change: FeedChange) => ClusterStateChange | undefined;
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -9,7 +9,7 @@
   decodeRelayReply,
   encodeRelayRequest,
   RELAY_METHOD,
-} from '../fleet/feed-relay.js';
+} from '../fleet/relay-messages.js';
 import {PeerBackedStore} from '../fleet/peer-backed-store.js';
 import {RelayedStore} from '../fleet/relayed-store.js';
 import {StoreAccess} from '../fleet/store-access.js';
@@ -402,7 +402,7 @@
           const reply = await this.#peers.call(
             address,
             RELAY_METHOD,
-            encodeRelayRequest(undefined),
+            encodeRelayRequest(),
             options,
           );
           const changes = decodeRelayReply(reply);
--- a/test/statements/relay.test.ts
+++ b/test/statements/relay.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
-import {FeedRelay, RELAY_METHOD} from '../../src/fleet/feed-relay.js';
+import {FeedRelay} from '../../src/fleet/feed-relay.js';
 import type {FleetMember} from '../../src/fleet/member-record.js';
+import {RELAY_METHOD} from '../../src/fleet/relay-messages.js';
 import {RelayedStore} from '../../src/fleet/relayed-store.js';
 import {StoreFeed, type FeedChange} from '../../src/fleet/store-feed.js';
 import {chooseWatchers, orderWatchers} from '../../src/fleet/watchers.js';
@@ -43,6 +44,9 @@
     get confirmedPosition() {
       return feed.revision === undefined ? undefined : at(feed.revision);
     },
+    get latestPosition() {
+      return feed.confirmedPosition;
+    },
     sinceInterruptionMs: () => Infinity,
   };
   return {clock, feed, relay: new FeedRelay(clock, feed)};
@@ -171,6 +175,19 @@
     expect(asked).toEqual(['w1', 'w2', 'store']);
   });
 
+  // A node that counted such an answer as complete would lack the change for good.
+  it('leaves a watcher that announces a change and does not send it', async () => {
+    const answer = {...(fresh(100)() as object), held: [['h', 7]]};
+    const {asked, reader} = createReader({
+      w1: () => ({...answer, changes: []}),
+      w2: () => ({...answer, changes: [['h', 'v', 7]]}),
+    });
+    const received = {known: at(9), has: () => false};
+    const {events} = await reader.changes('', at(5), 0, received);
+    expect(events).toContainEqual({key: 'h', value: 'v', revision: 7});
+    expect(asked).toEqual(['w1', 'w1', 'w2', 'w2']);
+  });
+
   it('requires a new listing if the watcher has forgotten the requested changes', async () => {
     const {reader} = createReader({w1: () => ({isGone: true})});
     await expect(reader.changes('', at(5), 0)).rejects.toThrow(
