--- a/src/explain/timeline.ts
+++ b/src/explain/timeline.ts
@@ -13,12 +13,15 @@
   'databaseDropped',
   'dutyHeldByOther',
   'dutyNotTaken',
+  'evacuatedDatabaseClosed',
+  'evacuatedTransactionEnded',
   'homeClosed',
   'homeOpened',
   'leaderChanged',
   'noDatabaseToPromote',
   'primaryChangeNeeded',
   'primaryInForce',
+  'promotionAbandoned',
   'promotionNotSeen',
   'promotionOrdered',
   'promotionSeen',
@@ -29,6 +32,7 @@
   'announcementRejected',
   'catalogVersionFell',
   'copyReadAfterRestore',
+  'evacuationMissing',
   'feedSourceChanged',
   'homeAnswers',
   'homeSilent',
@@ -41,6 +45,8 @@
 /** Node events whose latest line is included whatever its age. */
 const STATE_EVENTS: ReadonlySet<string> = new Set([
   'catalogInForce',
+  'evacuationBegan',
+  'evacuationEnded',
   'nodeStarted',
 ]);
 
@@ -104,8 +110,8 @@
 
 /** Key of an event and its subject; only the latest line per key is shown. */
 function subjectKey({event, fields}: LogLine): string {
-  const {vm, group, database, id, home} = fields;
-  return [event, vm, group, database, id, home].join(' ');
+  const {vm, group, database, id, home, dataCentre} = fields;
+  return [event, vm, group, database, id, home, dataCentre].join(' ');
 }
 
 function fieldValues(
--- a/src/groups/drain-notice.ts
+++ b/src/groups/drain-notice.ts
@@ -4,7 +4,7 @@
  * How long a change may be missing from a copy of the store that counts as
  * complete: polls request the changes of this period again.
  */
-const MAX_MISSED_MS = 2_000;
+export const MAX_MISSED_MS = 2_000;
 /**
  * Time for replacing a primary if the announcement may be old already, as on a
  * node that has just started or regained the store.
--- a/src/groups/failover-coordinator.ts
+++ b/src/groups/failover-coordinator.ts
@@ -86,6 +86,8 @@
   readonly databases: () => readonly TrackedDatabase[];
   /** Returns which node should replace the group's primary. */
   readonly responsibility: () => Responsibility;
+  /** Whether a primary in an evacuated data centre is to be changed by now. */
+  readonly isEvacuationDue: () => boolean;
   /** Whether this node's copy of the store is recent enough to act on. */
   readonly hasFreshCopy: () => boolean;
   /** Holds writes until the returned function is called. */
@@ -107,14 +109,24 @@
 }
 
 /** Why the primary is replaced. */
-type ChangeCause = 'noPrimary' | 'unreachable' | 'draining' | 'gone';
+type ChangeCause =
+  'noPrimary' | 'unreachable' | 'draining' | 'evacuated' | 'gone';
+
+/**
+ * Causes that leave the old primary running: the chosen replica first catches up
+ * with it while writes are held.
+ */
+const PLANNED_CAUSES: ReadonlySet<ChangeCause> = new Set([
+  'draining',
+  'evacuated',
+]);
 
 /**
  * Monitors one group and promotes a new primary where one is needed: the most
  * advanced replica that answers.
  *
- * If the old primary is draining, the chosen replica first catches up with it
- * while writes are held.
+ * If the old primary is draining, or its data centre is evacuated, the chosen
+ * replica first catches up with it while writes are held.
  *
  * @example
  * const coordinator = new FailoverCoordinator(options);
@@ -213,7 +225,7 @@
    * Whether this node replaces the primary. The responsible node may not be able
    * to at once: the home moves with the primary, and its new node has to wait
    * until the lease of the old one expires. Until then the holder replaces a
-   * primary that has failed. A draining one can wait for the responsible node,
+   * primary that has failed. A planned change can wait for the responsible node,
    * which holds the group's writes meanwhile.
    *
    * A node that has just regained the store may not know of a promotion yet.
@@ -222,7 +234,7 @@
     const {group, failoverLease, hasFreshCopy} = this.#options;
     if (!hasFreshCopy()) return false;
     if (this.#isResponsible()) return true;
-    return cause !== 'draining' && failoverLease.isHeld(group);
+    return !PLANNED_CAUSES.has(cause) && failoverLease.isHeld(group);
   }
 
   /** Whether this node is responsible; logs when another node becomes it. */
@@ -242,7 +254,7 @@
   }
 
   async #findCause(): Promise<ChangeCause | undefined> {
-    const {clock, databases, leadership} = this.#options;
+    const {clock, databases, leadership, isEvacuationDue} = this.#options;
     const leaderId = leadership.leaderId;
     if (leaderId === undefined) {
       this.#leaderlessSince ??= clock.now();
@@ -255,6 +267,8 @@
     const leader = databases().find(({id}) => id === leaderId);
     if (leader === undefined) return 'gone';
     if (leader.isDraining) return 'draining';
+    if (leader.isEvacuated && isEvacuationDue()) return 'evacuated';
+    if (leader.isClosed) return undefined;
     if (!leader.isSuspect) return undefined;
     return this.#probe(leader);
   }
@@ -332,10 +346,12 @@
     cause: ChangeCause,
   ): Promise<Candidates> {
     const databases = this.#options.databases();
-    const others = databases.filter(({id}) => id !== oldId);
+    const others = databases.filter(
+      ({id, isEvacuated}) => id !== oldId && !isEvacuated,
+    );
     const staying = others.filter(({isDraining}) => !isDraining);
     // Two draining databases would replace each other until one is gone.
-    const isLastResort = staying.length === 0 && cause !== 'draining';
+    const isLastResort = staying.length === 0 && !PLANNED_CAUSES.has(cause);
     const asked = isLastResort ? others : staying;
     return {asked, staying, states: await this.#states.queryAll(asked)};
   }
@@ -369,12 +385,12 @@
     cause: ChangeCause,
   ): Promise<void> {
     const {holdWrites, recordAttempt} = this.#options;
-    const release = cause === 'draining' ? await holdWrites() : () => {};
+    const isPlanned = PLANNED_CAUSES.has(cause);
+    const release = isPlanned ? await holdWrites() : () => {};
     try {
       const outcome = await this.#deposition.depose(oldId, order);
       if (outcome !== 'deposed') return recordAttempt(outcome);
-      if (cause === 'draining')
-        await this.#deposition.catchUp(oldId, order.databaseId);
+      if (isPlanned) await this.#deposition.catchUp(oldId, order.databaseId);
       await this.#promote(order);
     } finally {
       release();
@@ -384,6 +400,11 @@
   async #promote({databaseId, token}: PrimaryOrder): Promise<void> {
     const {failoverLease, orders, group, self, log, recordAttempt} =
       this.#options;
+    // Its data centre may have been evacuated since it was chosen.
+    if (this.#isEvacuated(databaseId)) {
+      log.warn('promotionAbandoned', {group, database: databaseId, token});
+      return recordAttempt('noCandidate');
+    }
     // It may have expired while the replica caught up, or in a pause of the VM.
     if (!failoverLease.isHeld(group)) return recordAttempt('leaseNotHeld');
     const outcome = await orders.promote({
@@ -404,6 +425,13 @@
     await this.#awaitLeader(databaseId);
   }
 
+  #isEvacuated(databaseId: string): boolean {
+    const database = this.#options
+      .databases()
+      .find(({id}) => id === databaseId);
+    return database?.isEvacuated ?? false;
+  }
+
   /** Waits until the promoted database reports that it leads. */
   async #awaitLeader(databaseId: string): Promise<void> {
     const {clock, databases, leadership, onPromoted, log, group} =
--- a/src/groups/tracked-database.ts
+++ b/src/groups/tracked-database.ts
@@ -15,6 +15,10 @@
   readonly id: string;
   /** Whether it is draining, before it leaves the group. */
   readonly isDraining: boolean;
+  /** Whether its data centre is evacuated, so that it may not be promoted. */
+  readonly isEvacuated: boolean;
+  /** Whether nothing may be sent to it any more. */
+  readonly isClosed: boolean;
   /** Whether it is suspected to be down and should be probed. */
   readonly isSuspect: boolean;
   /** The last log position reported in its answers. */
@@ -72,14 +76,18 @@
     return undefined;
   }
 
-  /** Queries all databases; returns the states of those that answer in time. */
+  /**
+   * Queries all databases that are not closed; returns the states of those that
+   * answer in time.
+   */
   async queryAll(
     databases: readonly TrackedDatabase[],
   ): Promise<ReadonlyMap<string, DatabaseState>> {
     const {clock, leadership} = this.#options;
     const states = new Map<string, DatabaseState>();
     const until = clock.now() + STATE_QUERY_TIMEOUT_MS;
-    const queries = databases.map(async database => {
+    const open = databases.filter(({isClosed}) => !isClosed);
+    const queries = open.map(async database => {
       const requestedAt = clock.now();
       const state = await this.#queryStateUntil(database, until);
       if (state === undefined) return;
--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -4,6 +4,7 @@
  * The primary certifies log positions: each proves that the position includes
  * every commit acknowledged before a given time. Reads at replicas use them.
  */
+import type {DataCentreUse, EvacuationView} from '../catalog/evacuations.js';
 import {
   ANONYMOUS_TEAM,
   type Catalog,
@@ -29,7 +30,14 @@
 import {notRun, type Verdict} from '../verdict/verdict.js';
 import type {TeamConnection} from './team-connection.js';
 import {CertifiedReads} from './certified-reads.js';
+import {EvacuatedDatabases} from './evacuated-databases.js';
+import {
+  causeOfRefusal,
+  evacuatedDataCentre,
+  evacuationRefusal,
+} from './evacuation-refusal.js';
 import {GroupMember} from './group-member.js';
+import {guardConnector} from './guarded-connector.js';
 import type {GroupRight, HomeContext} from './home-context.js';
 import type {HomeMetrics} from './home-metrics.js';
 import {OpenTransactions} from './open-transactions.js';
@@ -105,6 +113,9 @@
   readonly drainNoticeOf: (id: string) => DrainNotice | undefined;
   /** Time from a database's announcement until it may shut down. */
   readonly drainMs: number;
+  readonly evacuations: EvacuationView;
+  /** Returns whether the group's primary is to leave an evacuated data centre. */
+  readonly isEvacuationDue: () => boolean;
   /** Returns whether announcements may have expired in a store outage. */
   readonly mayHaveLapsed: () => boolean;
 }
@@ -130,6 +141,7 @@
   readonly #reads: CertifiedReads;
   readonly #writes: PrimaryWrites;
   readonly #transactionStatements: TransactionStatements;
+  readonly #evacuated: EvacuatedDatabases;
   readonly #ctx: HomeContext;
   readonly #right: GroupRight;
   readonly #stopping = new AbortController();
@@ -178,11 +190,16 @@
       metrics: options.metrics,
       drainNoticeOf: options.drainNoticeOf,
       drainMs: options.drainMs,
+      evacuations: options.evacuations,
     };
     this.#ctx = ctx;
+    this.#evacuated = new EvacuatedDatabases(ctx);
     this.#reads = new CertifiedReads(ctx);
     this.#writes = new PrimaryWrites(ctx);
-    this.#transactionStatements = new TransactionStatements(ctx);
+    this.#transactionStatements = new TransactionStatements(
+      ctx,
+      this.#evacuated,
+    );
   }
 
   /** Number of running statements and open transactions. */
@@ -200,6 +217,7 @@
     const {signal} = this.#stopping;
     this.#transactions.start();
     void this.#keeper.run(signal);
+    void this.#evacuated.run(signal);
     void this.#refreshCertificates(signal);
   }
 
@@ -293,6 +311,12 @@
     const {clock, log, group, isFirstHome} = this.#options;
     const leader = this.#members.get(this.#leadership.leaderId ?? '');
     const ageMs = clock.now() - this.#certificates.newestAt;
+    const evacuation =
+      verdict.reason === 'evacuated' ? causeOfRefusal(this.#ctx) : undefined;
+    if (evacuation !== undefined && !req.nearOnly) {
+      const {dataCentre} = evacuation;
+      this.#options.metrics.recordEvacuationRefusal(group, dataCentre);
+    }
     log.info('statementGivenUp', {
       request: req.statement.requestId,
       group,
@@ -310,6 +334,8 @@
       leaderPinned: leader?.pool.pinned,
       certificateAgeMs: Math.round(ageMs),
       databases: this.#members.size,
+      evacuated: evacuation?.dataCentre,
+      evacuationLearntMsAgo: evacuation && Math.round(evacuation.learntMsAgo),
     });
   }
 
@@ -360,6 +386,8 @@
     const {leaderId} = this.#leadership;
     const canServe = leaderId !== undefined && acceptsWork(this.#ctx, leaderId);
     if (canServe) return undefined;
+    const evacuated = evacuatedDataCentre(this.#ctx);
+    if (evacuated !== undefined) return evacuationRefusal(this.#ctx, evacuated);
     return notRun(
       'noPrimary',
       `group ${req.group} has no primary now`,
@@ -390,10 +418,12 @@
   }
 
   #createMember(entry: AnnouncedDatabase): GroupMember {
-    const {clock, connector, catalog} = this.#options;
+    const {clock, connector, catalog, evacuations} = this.#options;
+    const remainingMs = () =>
+      evacuations.find(entry.dataCentre)?.closesInMs ?? Infinity;
     return new GroupMember(entry, {
       clock,
-      connector,
+      connector: guardConnector(connector, remainingMs),
       connectionLimit: () => this.#connectionLimit(entry.id),
       weightOf: team => catalog().teams.get(team)?.rate ?? DEFAULT_WEIGHT,
       anyTeam: () => catalog().teams.keys().next().value,
@@ -456,6 +486,8 @@
         return [...this.#members.values()].map(member => ({
           id: member.id,
           isDraining: member.entry.isDraining,
+          isEvacuated: this.#useOf(member) !== 'open',
+          isClosed: this.#useOf(member) === 'closed',
           isSuspect: member.health.needsProbe,
           visiblePosition: member.visiblePosition,
           queryState: () => member.queryStateOverNewConnection(),
@@ -464,6 +496,7 @@
         }));
       },
       responsibility,
+      isEvacuationDue: this.#options.isEvacuationDue,
       hasFreshCopy: this.#options.hasFreshCopy,
       recordAttempt: outcome =>
         this.#options.metrics.recordFailoverAttempt(group, outcome),
@@ -481,6 +514,10 @@
     });
   }
 
+  #useOf({entry}: GroupMember): DataCentreUse {
+    return this.#options.evacuations.useOf(entry.dataCentre);
+  }
+
   /** Fetches a certificate when no statement at the primary brought one. */
   async #refreshCertificates(signal: AbortSignal): Promise<void> {
     const {clock, catalog} = this.#options;
--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -10,6 +10,7 @@
 import type {DatabaseCommand, DatabaseReply} from '../statements/types.js';
 import {placeRead} from '../routing/read-placement.js';
 import {notRun, type NotRun, type Verdict} from '../verdict/verdict.js';
+import {evacuatedDataCentre, evacuationRefusal} from './evacuation-refusal.js';
 import type {TeamConnection} from './team-connection.js';
 import type {HomeContext} from './home-context.js';
 import type {GroupMember} from './group-member.js';
@@ -98,6 +99,7 @@
     const {clock, leadership, members} = this.#ctx;
     const member = members.get(leadership.leaderId ?? '');
     if (member === undefined || !member.health.isReachable) return;
+    if (!acceptsWork(this.#ctx, member.id)) return;
     const acquired = await member.pool.acquire({
       team,
       priority: 'ordinary',
@@ -354,8 +356,10 @@
   ): readonly string[] {
     const {members, leadership, clock, dataCentre, right} = this.#ctx;
     const candidates = [...members.values()]
-      .filter(({entry: {id, isDraining}}) =>
-        id === leadership.leaderId ? acceptsWork(this.#ctx, id) : !isDraining,
+      .filter(({id}) => acceptsWork(this.#ctx, id))
+      .filter(
+        ({entry: {id, isDraining}}) =>
+          id === leadership.leaderId || !isDraining,
       )
       .filter(
         ({id}) =>
@@ -378,7 +382,7 @@
         lastShortfall: member.lastLagRefusal,
       }));
     const isPrimaryOnly = req.consistency === 'primary';
-    return placeRead({
+    const ranked = placeRead({
       candidates: isPrimaryOnly
         ? candidates.filter(({isPrimary}) => isPrimary)
         : candidates,
@@ -386,6 +390,22 @@
       now: clock.now(),
       avoid,
     });
+    return this.#evacuatedLast(ranked);
+  }
+
+  /** Moves a primary in an evacuated data centre behind the replicas elsewhere. */
+  #evacuatedLast(ids: readonly string[]): readonly string[] {
+    const {members, evacuations} = this.#ctx;
+    const isEvacuated = (id: string) => {
+      const dataCentre = members.get(id)?.entry.dataCentre;
+      return (
+        dataCentre !== undefined && evacuations.useOf(dataCentre) !== 'open'
+      );
+    };
+    return [
+      ...ids.filter(id => !isEvacuated(id)),
+      ...ids.filter(id => isEvacuated(id)),
+    ];
   }
 
   #notPrimary({id}: GroupMember): Verdict {
@@ -398,6 +418,8 @@
 
   #noDatabaseVerdict({req}: StatementAttempt): Verdict {
     const {group, leadership, right} = this.#ctx;
+    const evacuated = evacuatedDataCentre(this.#ctx);
+    if (evacuated !== undefined) return evacuationRefusal(this.#ctx, evacuated);
     if (leadership.leaderId === undefined) return noPrimary(this.#ctx);
     if (!right.isHeld && !req.nearOnly) return noRight(group);
     if (req.consistency === 'primary') return noPrimary(this.#ctx);
--- a/src/home/home-context.ts
+++ b/src/home/home-context.ts
@@ -1,4 +1,5 @@
 /** The state that the components of a certified home share. */
+import type {EvacuationView} from '../catalog/evacuations.js';
 import type {DrainNotice} from '../groups/drain-notice.js';
 import type {Leadership} from '../groups/leadership.js';
 import type {PrimaryClaim} from '../groups/primary-rights.js';
@@ -40,4 +41,5 @@
   readonly drainNoticeOf: (id: string) => DrainNotice | undefined;
   /** Time from a database's announcement until it may shut down. */
   readonly drainMs: number;
+  readonly evacuations: EvacuationView;
 }
--- a/src/home/home-metrics.ts
+++ b/src/home/home-metrics.ts
@@ -15,4 +15,6 @@
    * had ended before its answer arrived.
    */
   recordUnacknowledgedCommit(group: string): void;
+  /** Counts a statement refused because a data centre is evacuated. */
+  recordEvacuationRefusal(group: string, dataCentre: string): void;
 }
--- a/src/home/open-transactions.ts
+++ b/src/home/open-transactions.ts
@@ -57,6 +57,15 @@
     return this.#idle.has(pin);
   }
 
+  /** Returns the transactions on a database that wait for a statement. */
+  idleAt(
+    databaseId: string,
+  ): readonly {readonly pin: string; readonly transaction: T}[] {
+    return [...this.#idle].flatMap(([pin, {transaction}]) =>
+      transaction.databaseId === databaseId ? [{pin, transaction}] : [],
+    );
+  }
+
   /** Starts rolling back transactions that exceed the idle timeout. */
   start(): void {
     void this.#sweep();
--- a/src/home/statement-attempt.ts
+++ b/src/home/statement-attempt.ts
@@ -12,6 +12,7 @@
   type NotRun,
   type Verdict,
 } from '../verdict/verdict.js';
+import {evacuationRefusal} from './evacuation-refusal.js';
 import type {TeamConnection} from './team-connection.js';
 import type {HomeContext} from './home-context.js';
 import type {GroupMember} from './group-member.js';
@@ -38,15 +39,29 @@
   readonly deadlineAt: number;
 }
 
-/** Returns whether a database may get new statements, by its drain time. */
-export function acceptsWork(
-  {clock, drainNoticeOf, drainMs}: HomeContext,
-  databaseId: string,
-): boolean {
+/**
+ * Returns whether a database may get new statements, by its drain time and by
+ * the evacuations in force.
+ */
+export function acceptsWork(ctx: HomeContext, databaseId: string): boolean {
+  const {clock, drainNoticeOf, drainMs} = ctx;
+  if (!isOpenFor(ctx, databaseId)) return false;
   const notice = drainNoticeOf(databaseId);
   return notice === undefined || clock.now() < newWorkEndsAt(notice, drainMs);
 }
 
+/** Returns whether evacuations leave a database its statements. */
+function isOpenFor(
+  {members, leadership, evacuations}: HomeContext,
+  databaseId: string,
+): boolean {
+  const member = members.get(databaseId);
+  if (member === undefined) return true;
+  const use = evacuations.useOf(member.entry.dataCentre);
+  if (use === 'primaryOnly') return leadership.leaderId === databaseId;
+  return use === 'open';
+}
+
 /**
  * Requests a slot for a statement outside an open transaction; queues until
  * `queueUntil` or the deadline at most. Refused if the database gets no new
@@ -59,7 +74,7 @@
   queueUntil: number,
 ): Promise<SlotResult<TeamConnection>> {
   const {req, signal, deadlineAt} = attempt;
-  if (!acceptsWork(ctx, member.id)) return drainingRefusal(ctx, member);
+  if (!acceptsWork(ctx, member.id)) return closedRefusal(ctx, member);
   const result = await member.pool.acquire({
     team: req.team,
     priority: req.priority,
@@ -68,19 +83,24 @@
     values: req.values,
   });
   if (result.kind === 'refused') return result;
-  // The drain may have ended while the statement was queued.
+  // The database may have been closed while the statement was queued.
   if (!acceptsWork(ctx, member.id)) {
     result.slot.release();
-    return drainingRefusal(ctx, member);
+    return closedRefusal(ctx, member);
   }
   recordIfDraining(ctx, req, member);
   return result;
 }
 
-function drainingRefusal(
-  {primaryRetryMs}: HomeContext,
-  {id}: GroupMember,
+function closedRefusal(
+  ctx: HomeContext,
+  {id, entry}: GroupMember,
 ): SlotResult<TeamConnection> {
+  const {primaryRetryMs, evacuations} = ctx;
+  if (evacuations.useOf(entry.dataCentre) !== 'open') {
+    const verdict = evacuationRefusal(ctx, entry.dataCentre);
+    return {kind: 'refused', verdict};
+  }
   const message = `database ${id} shuts down and gets no new statements`;
   const verdict = notRun('targetUnavailable', message, primaryRetryMs());
   return {kind: 'refused', verdict};
--- a/src/home/statement-homes.ts
+++ b/src/home/statement-homes.ts
@@ -24,7 +24,7 @@
 /** Options of the statement homes. */
 export interface StatementHomesOptions extends Omit<
   CertifiedHomeOptions,
-  'group' | 'isFirstHome' | 'responsibility' | 'readerIn'
+  'group' | 'isFirstHome' | 'responsibility' | 'readerIn' | 'isEvacuationDue'
 > {
   readonly clock: Clock;
   readonly catalog: () => Catalog;
@@ -34,6 +34,8 @@
   readonly readerIn: (group: string, dataCentre: string) => string | undefined;
   /** Returns which node should replace a group's primary. */
   readonly responsibility: (group: string) => Responsibility;
+  /** Returns whether a group's primary is to leave an evacuated data centre. */
+  readonly isEvacuationDue: (group: string) => boolean;
 }
 
 /** Runs statements on the groups whose home is on this node. */
@@ -136,14 +138,21 @@
   #ensureHome(group: string): CertifiedHome {
     const known = this.#homes.get(group);
     if (known !== undefined) return known;
-    const {isFirstHome, responsibility, readerIn, entries, ...common} =
-      this.#options;
+    const {
+      isFirstHome,
+      responsibility,
+      readerIn,
+      isEvacuationDue,
+      entries,
+      ...common
+    } = this.#options;
     const home = new CertifiedHome({
       ...common,
       group,
       isFirstHome: () => isFirstHome(group),
       readerIn: dataCentre => readerIn(group, dataCentre),
       responsibility: () => responsibility(group),
+      isEvacuationDue: () => isEvacuationDue(group),
     });
     this.#homes.set(group, home);
     for (const entry of entries()) {
--- a/src/home/transaction-statements.ts
+++ b/src/home/transaction-statements.ts
@@ -5,6 +5,7 @@
 import type {TeamConnection} from './team-connection.js';
 import type {HomeContext} from './home-context.js';
 import type {GroupMember} from './group-member.js';
+import type {EvacuatedDatabases} from './evacuated-databases.js';
 import type {PinnedTransaction} from './open-transactions.js';
 import {
   answered,
@@ -37,9 +38,14 @@
  */
 export class TransactionStatements {
   readonly #ctx: HomeContext;
+  readonly #evacuated: Pick<EvacuatedDatabases, 'dataCentreOf'>;
 
-  constructor(ctx: HomeContext) {
+  constructor(
+    ctx: HomeContext,
+    evacuated: Pick<EvacuatedDatabases, 'dataCentreOf'>,
+  ) {
     this.#ctx = ctx;
+    this.#evacuated = evacuated;
   }
 
   /** Runs one statement of an open transaction. Never rejects. */
@@ -50,12 +56,7 @@
     const open = transactions.take(pin);
     if (open === undefined) {
       leave();
-      const verdict = notRun(
-        'targetUnavailable',
-        'the transaction has been rolled back; begin it again',
-        0,
-      );
-      return failedStatement(verdict, 'failed');
+      return failedStatement(this.#rolledBack(pin), 'failed');
     }
     const {member, slot, claim} = open;
     if (claim?.isValid === false) {
@@ -84,6 +85,16 @@
     }
   }
 
+  #rolledBack(pin: string): NotRun {
+    const dataCentre = this.#evacuated.dataCentreOf(pin);
+    const cause =
+      dataCentre === undefined
+        ? ''
+        : `, since data centre ${dataCentre} is evacuated`;
+    const message = `the transaction has been rolled back${cause}; begin it again`;
+    return notRun('targetUnavailable', message, 0);
+  }
+
   async #runOn(
     req: StatementRequest,
     member: GroupMember,
--- a/src/node/cluster-state.ts
+++ b/src/node/cluster-state.ts
@@ -6,6 +6,7 @@
   type LastAnnouncement,
   type StaleReason,
 } from '../catalog/announcement-order.js';
+import {Evacuations} from '../catalog/evacuations.js';
 import {
   EMPTY_CATALOG,
   type Catalog,
@@ -41,6 +42,12 @@
       readonly id: string;
       /** Undefined if the database is gone or its record is malformed. */
       readonly entry: AnnouncedDatabase | undefined;
+    }
+  | {
+      readonly kind: 'evacuation';
+      readonly dataCentre: string;
+      /** False if the operators have withdrawn the request. */
+      readonly isActive: boolean;
     };
 
 /** Number of databases whose last announcement is remembered. */
@@ -68,6 +75,8 @@
   readonly self: string;
   readonly store: Pick<LeasedStore, 'list' | 'changes'>;
   readonly metrics: RejectionMetrics;
+  /** Time from a request to evacuate a data centre until it must be unused. */
+  readonly evacuateMs: number;
   /** Decodes a change of the store; undefined if the key is not relevant. */
   readonly decode: (change: FeedChange) => ClusterStateChange | undefined;
   /** Called when a database's announcement changes or disappears. */
@@ -95,6 +104,8 @@
   readonly feed: StoreFeed;
   /** Serves the changes that this node has received to other nodes. */
   readonly relay: FeedRelay;
+  /** The data centres that the operators have evacuated. */
+  readonly evacuations: Evacuations;
   readonly #options: ClusterStateOptions;
   readonly #databases = new Map<string, AnnouncedDatabase>();
   /** The last announcement of each database, also of those that are gone. */
@@ -124,6 +135,12 @@
       onChange: change => this.#applyAndRelay(change),
     });
     this.relay = new FeedRelay(clock, this.feed);
+    this.evacuations = new Evacuations({
+      clock,
+      log,
+      boundMs: options.evacuateMs,
+      copyAgeMs: () => this.feed.ageMs(),
+    });
   }
 
   get catalog(): Catalog {
@@ -195,6 +212,11 @@
     if (decoded?.kind === 'catalog') return this.#applyCatalog(decoded.catalog);
     if (decoded?.kind === 'database')
       return this.#applyDatabase(decoded, change.at);
+    if (decoded?.kind === 'evacuation') {
+      const {dataCentre, isActive} = decoded;
+      this.evacuations.apply(dataCentre, isActive, change.at.era);
+      return 'new';
+    }
     return 'ignored';
   }
 
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -95,6 +95,8 @@
   readonly minLeaseMs: number;
   /** Time from a database's announcement of its shutdown until it may stop. */
   readonly drainMs: number;
+  /** Time from a request to evacuate a data centre until it must be unused. */
+  readonly evacuateMs: number;
   /** Time between the request to shut down and the kill of the process. */
   readonly graceMs: number;
   readonly log: Logger;
@@ -190,6 +192,7 @@
         sources: () => this.#placement.feedSources(),
       }),
       metrics,
+      evacuateMs: options.evacuateMs,
       decode: options.decode,
       onDatabase: (database, entry) =>
         this.#homes.applyDatabase(database, entry),
@@ -199,6 +202,7 @@
       self: id,
       dataCentre: options.dataCentre,
       clusterState: this.#cluster,
+      evacuations: this.#cluster.evacuations,
       homeMonitor: this.#homeMonitor,
       storeAccess,
     });
@@ -265,6 +269,7 @@
       catalogVersion: () => this.#cluster.catalog.version,
       members: () => this.#cluster.members.live().length,
       homeActive: () => this.#homes.active,
+      evacuatedDataCentres: () => this.#cluster.evacuations.dataCentres.length,
     };
   }
 
@@ -448,6 +453,8 @@
       metrics: this.metrics,
       drainNoticeOf: database => this.#cluster.drainNoticeOf(database),
       drainMs: this.#options.drainMs,
+      evacuations: this.#cluster.evacuations,
+      isEvacuationDue: group => this.#placement.isEvacuationDue(group),
       mayHaveLapsed: () => this.#cluster.mayHaveLapsed,
     });
   }
--- a/src/node/work-placement.ts
+++ b/src/node/work-placement.ts
@@ -1,4 +1,5 @@
 /** Chooses the nodes for a group's work, a team's budget and the change feed. */
+import {turnDelayMs, type EvacuationView} from '../catalog/evacuations.js';
 import type {Catalog, Consistency} from '../catalog/types.js';
 import {peerAddressOf} from '../fleet/member-list.js';
 import type {FleetMember} from '../fleet/member-record.js';
@@ -20,6 +21,7 @@
   readonly self: string;
   readonly dataCentre: string;
   readonly clusterState: Pick<ClusterState, 'members' | 'entries'>;
+  readonly evacuations: EvacuationView;
   /** Reports which nodes have stopped answering. */
   readonly homeMonitor: Pick<HomeMonitor, 'isSilent'>;
   /** Reports whether this node reaches the store. */
@@ -88,6 +90,29 @@
     return reader && peerAddressOf(reader);
   }
 
+  /**
+   * Whether it is a group's turn to change its primary, which is in an evacuated
+   * data centre. Groups take turns by name, and move up as others are done.
+   */
+  isEvacuationDue(group: string): boolean {
+    const {clusterState, evacuations} = this.#options;
+    const primaries = [...clusterState.entries].filter(
+      ({role}) => role === 'primary',
+    );
+    const dataCentres = new Map(
+      primaries.map(({group, dataCentre}) => [group, dataCentre]),
+    );
+    const evacuation = evacuations.find(dataCentres.get(group) ?? '');
+    // Its primary is not announced as one: there is no turn to wait for.
+    if (evacuation === undefined) return true;
+    const groups = [...dataCentres]
+      .filter(([, dataCentre]) => evacuations.useOf(dataCentre) !== 'open')
+      .map(([name]) => name)
+      .toSorted();
+    const turn = {before: groups.indexOf(group), groups: groups.length};
+    return evacuation.learntMsAgo >= turnDelayMs(turn);
+  }
+
   /** Returns the nodes in order of preference as the owner of a team's budget. */
   budgetOrder(team: string): readonly FleetMember[] {
     return this.#options.clusterState.members.stewardOrder(`budget ${team}`);
@@ -180,7 +205,9 @@
   }
 
   #hasReplica(group: string, dataCentre: string): boolean {
-    for (const database of this.#options.clusterState.entries) {
+    const {clusterState, evacuations} = this.#options;
+    if (evacuations.useOf(dataCentre) !== 'open') return false;
+    for (const database of clusterState.entries) {
       const isCandidate =
         database.group === group && database.dataCentre === dataCentre;
       if (isCandidate && database.role === 'replica' && !database.isDraining)
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -34,6 +34,7 @@
   readonly members: () => number;
   /** Statements and open transactions at the homes that this node runs. */
   readonly homeActive: () => number;
+  readonly evacuatedDataCentres: () => number;
 }
 
 /**
@@ -50,6 +51,7 @@
   readonly #failoverAttempts: Counter<'group' | 'outcome'>;
   readonly #drainAge: Histogram<'group'>;
   readonly #unacknowledged: Counter<'group'>;
+  readonly #evacuationRefusals: Counter<'group' | 'data_centre'>;
   readonly #storeEra: Gauge;
   readonly #peerCalls: Counter<'outcome'>;
   readonly #rejected: Counter<'reason'>;
@@ -88,6 +90,12 @@
       buckets: DRAIN_AGE_BUCKETS_S,
       registers,
     });
+    this.#evacuationRefusals = new Counter({
+      name: 'zinnia_evacuation_refusals_total',
+      help: 'Statements refused because a data centre is evacuated.',
+      labelNames: ['group', 'data_centre'],
+      registers,
+    });
     this.#storeEra = new Gauge({
       name: 'zinnia_store_era',
       help: 'How often the store was restored from a copy, by its last answer.',
@@ -125,6 +133,10 @@
     this.#unacknowledged.inc({group});
   }
 
+  recordEvacuationRefusal(group: string, dataCentre: string): void {
+    this.#evacuationRefusals.inc({group, data_centre: dataCentre});
+  }
+
   /** Counts a store call that went through other nodes. */
   recordPeerCall(outcome: PeerCallOutcome): void {
     this.#peerCalls.inc({outcome});
@@ -172,6 +184,11 @@
       'Statements and open transactions at the homes here.',
       gauges.homeActive,
     );
+    add(
+      'zinnia_evacuated_data_centres',
+      'Data centres that the operators have evacuated.',
+      gauges.evacuatedDataCentres,
+    );
   }
 
   /** Serves the metrics over HTTP; rejects if the port can't be bound. */
--- a/src/verdict/sqlstate.ts
+++ b/src/verdict/sqlstate.ts
@@ -94,6 +94,11 @@
     sqlstate: '57P01',
     hint: 'This VM is leaving; connect again to reach another.',
   },
+  evacuated: {
+    severity: 'ERROR',
+    sqlstate: '57P03',
+    hint: 'A data centre is evacuated and no database elsewhere can run it yet.',
+  },
 };
 
 const MAY_HAVE_RUN_HINT =
--- a/src/verdict/verdict.ts
+++ b/src/verdict/verdict.ts
@@ -20,7 +20,9 @@
   | 'staleReplicas'
   | 'targetUnavailable'
   | 'homeUnavailable'
-  | 'shuttingDown';
+  | 'shuttingDown'
+  /** Only a database in an evacuated data centre could run it. */
+  | 'evacuated';
 
 /** Why it is unknown whether a request ran. */
 export type UncertainReason =
--- a/test/node/work-placement.test.ts
+++ b/test/node/work-placement.test.ts
@@ -34,6 +34,7 @@
     self,
     dataCentre: 'dc-0',
     clusterState: {members, entries: []},
+    evacuations: {useOf: () => 'open', find: () => undefined},
     homeMonitor: {isSilent: id => silent.has(id)},
     storeAccess: {isFailing},
   });
--- a/test/statements/certified-reads.test.ts
+++ b/test/statements/certified-reads.test.ts
@@ -104,7 +104,9 @@
       recordFailoverAttempt: () => {},
       recordDrainingStatement: () => {},
       recordUnacknowledgedCommit: () => {},
+      recordEvacuationRefusal: () => {},
     },
+    evacuations: {useOf: () => 'open', find: () => undefined},
     drainNoticeOf: () => drain.notice,
     drainMs: DRAIN_MS,
   };
--- a/test/statements/primary-keeper.test.ts
+++ b/test/statements/primary-keeper.test.ts
@@ -61,6 +61,8 @@
   const silent: TrackedDatabase = {
     id: 'a',
     isDraining,
+    isEvacuated: false,
+    isClosed: false,
     isSuspect: !isDraining,
     visiblePosition: {term: 1, offset: 99},
     queryState: async () => {
@@ -77,6 +79,8 @@
     ([id, {answer, shown}]): TrackedDatabase => ({
       id,
       isDraining: areReplicasDraining,
+      isEvacuated: false,
+      isClosed: false,
       isSuspect: false,
       visiblePosition: {term: 1, offset: shown},
       queryState: async () => answer(),
@@ -120,6 +124,7 @@
       primaryDataCentre: undefined,
       members: 1,
     }),
+    isEvacuationDue: () => true,
     hasFreshCopy: () => hasFreshCopy,
     recordAttempt: () => {},
     holdWrites: async () => {
--- a/test/statements/store-era.test.ts
+++ b/test/statements/store-era.test.ts
@@ -20,6 +20,7 @@
 const CONFIG_KEY = 'op/config';
 const DATABASE_KEY = 'servers/db-1';
 const GROUP = 'claims';
+const EVACUATE_MS = 5_000;
 /** Longer than two polls of the store and the grace for missing members. */
 const SETTLE_MS = 3_000;
 
@@ -56,6 +57,7 @@
     self: 'node-1',
     store,
     metrics,
+    evacuateMs: EVACUATE_MS,
     decode: ({key, value}) => {
       if (key === CONFIG_KEY) {
         if (value === undefined) return undefined;
--- a/test/verdict/sqlstate.test.ts
+++ b/test/verdict/sqlstate.test.ts
@@ -22,6 +22,7 @@
   targetUnavailable: '57P03',
   homeUnavailable: '57P03',
   shuttingDown: '57P01',
+  evacuated: '57P03',
 };
 
 const UNCERTAIN: readonly UncertainReason[] = [
