--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -354,6 +354,8 @@
       deadlineAt: now + req.deadlineMs,
     };
     const isRead = req.kind === 'read' && req.opens === undefined;
+    const evacuated = this.#refuseIfEvacuated(req);
+    if (evacuated !== undefined) return failedStatement(evacuated);
     await this.#prepareRight(req);
     const refusal = this.#earlyRefusal(attempt);
     if (refusal !== undefined) return failedStatement(refusal);
@@ -377,6 +379,23 @@
     return this.#options.quota.admit(team);
   }
 
+  /**
+   * Refuses what only the closed primary of an evacuated data centre can serve,
+   * without waiting for the right to it.
+   */
+  #refuseIfEvacuated(req: StatementRequest): Verdict | undefined {
+    const dataCentre = evacuatedDataCentre(this.#ctx);
+    if (dataCentre === undefined || req.nearOnly) return undefined;
+    if (!needsPrimary(req) && this.#hasCertificateFor(req)) return undefined;
+    return evacuationRefusal(this.#ctx, dataCentre);
+  }
+
+  /** Whether a replica can prove that it is fresh enough for a read. */
+  #hasCertificateFor({maxStalenessMs}: StatementRequest): boolean {
+    const needed = this.#options.clock.now() - maxStalenessMs;
+    return this.#certificates.covering(needed) !== undefined;
+  }
+
   /** Refuses what no database can serve now, before a token is spent. */
   #earlyRefusal(attempt: StatementAttempt): Verdict | undefined {
     const {req} = attempt;
@@ -386,8 +405,6 @@
     const {leaderId} = this.#leadership;
     const canServe = leaderId !== undefined && acceptsWork(this.#ctx, leaderId);
     if (canServe) return undefined;
-    const evacuated = evacuatedDataCentre(this.#ctx);
-    if (evacuated !== undefined) return evacuationRefusal(this.#ctx, evacuated);
     return notRun(
       'noPrimary',
       `group ${req.group} has no primary now`,
@@ -400,9 +417,7 @@
     const {rights, group, clock} = this.#options;
     if (req.nearOnly || this.#right.isHeld) return;
     const acquiring = rights.acquire(group);
-    const needed = clock.now() - req.maxStalenessMs;
-    const isProven = this.#certificates.covering(needed) !== undefined;
-    if (isProven && !needsPrimary(req)) return;
+    if (this.#hasCertificateFor(req) && !needsPrimary(req)) return;
     const timer = new AbortController();
     await Promise.race([
       acquiring,
--- a/standins/lines/database.ts
+++ b/standins/lines/database.ts
@@ -74,6 +74,8 @@
   };
   readonly runs: StatementRun[] = [];
   readonly commits: Commit[] = [];
+  /** When each line arrived, of any kind, in Unix milliseconds. */
+  readonly requests: {readonly at: number; readonly line: string}[] = [];
   isStopped = false;
   term = 1;
   #isPrimary = false;
@@ -185,6 +187,7 @@
   }
 
   async #serve(connection: Connection, line: string): Promise<void> {
+    this.requests.push({at: Date.now(), line});
     if (this.faults.unresponsive) return;
     const [word, ...fields] = line.split(' ');
     if (word === 'START') return this.#start(connection, fields);
