--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -96,6 +96,8 @@
   readonly minLeaseMs: number;
   /** Time from a database's announcement of its shutdown until it may stop. */
   readonly drainMs: number;
+  /** Time from a request to evacuate a data centre until it must be unused. */
+  readonly evacuateMs: number;
   /** Time between the request to shut down and the kill of the process. */
   readonly graceMs: number;
   readonly log: Logger;
@@ -193,6 +195,7 @@
         sources: () => this.#placement.feedSources(),
       }),
       metrics,
+      evacuateMs: options.evacuateMs,
       decode: options.decode,
       onDatabase: (database, entry) =>
         this.#homes.applyDatabase(database, entry),
@@ -202,6 +205,7 @@
       self: id,
       dataCentre: options.dataCentre,
       clusterState: this.#cluster,
+      evacuations: this.#cluster.evacuations,
       homeMonitor: this.#homeMonitor,
       storeAccess,
     });
@@ -270,6 +274,7 @@
       members: () => this.#cluster.members.live().length,
       homeActive: () => this.#homes.active,
       peerTraffic: () => this.#traffic.totals(),
+      evacuatedDataCentres: () => this.#cluster.evacuations.dataCentres.length,
     };
   }
 
@@ -460,6 +465,8 @@
       metrics: this.metrics,
       drainNoticeOf: database => this.#cluster.drainNoticeOf(database),
       drainMs: this.#options.drainMs,
+      evacuations: this.#cluster.evacuations,
+      isEvacuationDue: group => this.#placement.isEvacuationDue(group),
       mayHaveLapsed: () => this.#cluster.mayHaveLapsed,
     });
   }
