--- a/src/admission/team-queues.ts
+++ b/src/admission/team-queues.ts
@@ -4,10 +4,10 @@
 
 const MIN_WEIGHT = 1e-6;
 
-interface QueuedItem<T> {
+/** An item with its order and its place in the queue. */
+export interface QueuedItem<T> {
   readonly item: T;
-  readonly costMs: number;
-  readonly deadlineMs: number;
+  readonly order: SchedulingParams;
   readonly queuedAtMs: number;
   readonly startTag: number;
 }
@@ -28,6 +28,7 @@
   readonly #queues = new Map<string, TeamQueue<T>>();
   #virtualTime = 0;
   #size = 0;
+  #totalCostMs = 0;
   #nextExpiryMs = Infinity;
 
   constructor(weightOf: (team: string) => number) {
@@ -40,9 +41,14 @@
 
   /** The expected time of all queued items on one connection. */
   get totalCostMs(): number {
-    let totalMs = 0;
-    for (const queue of this.#queues.values()) totalMs += queue.costMs;
-    return totalMs;
+    return this.#totalCostMs;
+  }
+
+  /** The queued items in the order in which they will be taken. */
+  inOrder(): readonly QueuedItem<T>[] {
+    return [...this.#queues.values()]
+      .flatMap(({items}) => items)
+      .toSorted((a, b) => a.startTag - b.startTag);
   }
 
   /** A lower bound of the queued deadlines; infinite if nothing is queued. */
@@ -65,8 +71,9 @@
     const {costMs, deadlineMs} = order;
     queue.finishTag = startTag + costMs / queue.weight;
     queue.costMs += costMs;
-    queue.items.push({item, costMs, deadlineMs, queuedAtMs, startTag});
+    queue.items.push({item, order, queuedAtMs, startTag});
     this.#size += 1;
+    this.#totalCostMs += costMs;
     this.#nextExpiryMs = Math.min(this.#nextExpiryMs, deadlineMs);
   }
 
@@ -90,10 +97,12 @@
     if (nowMs < this.#nextExpiryMs) return undefined;
     let nextMs = Infinity;
     for (const queue of this.#queues.values()) {
-      const index = queue.items.findIndex(queued => queued.deadlineMs <= nowMs);
+      const index = queue.items.findIndex(
+        ({order}) => order.deadlineMs <= nowMs,
+      );
       if (index >= 0) return this.#removeAt(queue, index);
-      for (const queued of queue.items) {
-        nextMs = Math.min(nextMs, queued.deadlineMs);
+      for (const {order} of queue.items) {
+        nextMs = Math.min(nextMs, order.deadlineMs);
       }
     }
     this.#nextExpiryMs = nextMs;
@@ -120,7 +129,7 @@
       if (queue === own || head === undefined) continue;
       if (head.startTag > startTag) continue;
       const served = (startTag - head.startTag) * queue.weight;
-      aheadMs += Math.min(queue.costMs, Math.max(served, head.costMs));
+      aheadMs += Math.min(queue.costMs, Math.max(served, head.order.costMs));
     }
     return aheadMs;
   }
@@ -140,8 +149,11 @@
   #removeAt(queue: TeamQueue<T>, index: number): T | undefined {
     const [removed] = queue.items.splice(index, 1);
     if (removed === undefined) return undefined;
-    queue.costMs -= removed.costMs;
+    queue.costMs -= removed.order.costMs;
     this.#size -= 1;
+    // The sum of an empty queue is exact again, whatever was rounded before.
+    this.#totalCostMs =
+      this.#size === 0 ? 0 : this.#totalCostMs - removed.order.costMs;
     this.#removeIdleQueues();
     return removed.item;
   }
--- a/src/callers/session-parameters.ts
+++ b/src/callers/session-parameters.ts
@@ -2,7 +2,7 @@
  * Parameters of a session. The proxy acts on its own (`zinnia.*`) and only
  * stores any other, so that SHOW returns what SET has assigned.
  */
-import type {Priority} from '../home/types.js';
+import type {PriorityClass} from './priority-class.js';
 import {decodeToken, SessionToken} from '../session/token.js';
 import type {TokenSigner} from '../session/token-signer.js';
 
@@ -40,7 +40,7 @@
   readonly #custom = new Map<string, string>();
   #token = SessionToken.unknown();
   #deadlineMs: number;
-  #priority: Priority | undefined;
+  #priority: PriorityClass | undefined;
 
   constructor(signer: TokenSigner, deadlineMs: number) {
     this.#signer = signer;
@@ -61,7 +61,7 @@
   }
 
   /** The scheduling class that the session requested, if any. */
-  get priority(): Priority | undefined {
+  get priority(): PriorityClass | undefined {
     return this.#priority;
   }
 
--- a/src/callers/statement-runner.ts
+++ b/src/callers/statement-runner.ts
@@ -8,6 +8,7 @@
 import type {TransactionStatus} from '../targets/types.js';
 import {notRun, type NotRun} from '../verdict/verdict.js';
 import type {Authority, SessionDeps} from './types.js';
+import {PRIORITIES} from './priority-class.js';
 import type {SessionParameters} from './session-parameters.js';
 
 /** A batch to run on the session's database group. */
@@ -122,7 +123,7 @@
         group,
         team,
         kind,
-        priority: rules.priority(kind, this.#parameters.priority),
+        priority: PRIORITIES[rules.priority(kind, this.#parameters.priority)],
         deadlineMs: Math.max(1, deadlineAt - this.#deps.clock.now()),
         token: this.#parameters.token.at(group),
         staleMs: rules.staleMs,
--- a/src/callers/types.ts
+++ b/src/callers/types.ts
@@ -1,12 +1,13 @@
 /** Interfaces through which a caller's session uses the rest of the node. */
 import type {Admission} from '../admission/types.js';
-import type {GroupExecutor, Priority} from '../home/types.js';
+import type {GroupExecutor} from '../home/types.js';
 import type {Clock} from '../infra/clock.js';
 import type {Classifier} from '../routing/classify.js';
 import type {TokenSigner} from '../session/token-signer.js';
 import type {Logger} from '../telemetry/log.js';
 import type {StatementSample} from '../telemetry/statement-metrics.js';
 import type {NotRun} from '../verdict/verdict.js';
+import type {PriorityClass} from './priority-class.js';
 
 /** The team and database group for which a session was authenticated. */
 export interface Authority {
@@ -31,8 +32,11 @@
 export interface SessionRules {
   /** Maximum staleness of a read in milliseconds; 0 reads at the primary. */
   readonly staleMs: number;
-  /** The scheduling class of a statement; `wanted` is the session's request. */
-  priority(kind: 'read' | 'write', wanted: Priority | undefined): Priority;
+  /** The priority class of a statement; `wanted` is the session's request. */
+  priority(
+    kind: 'read' | 'write',
+    wanted: PriorityClass | undefined,
+  ): PriorityClass;
 }
 
 /** Checks callers against the current configuration. */
--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -9,6 +9,8 @@
   type Catalog,
   type AnnouncedDatabase,
 } from '../catalog/types.js';
+import {rankPriorities} from '../catalog/priority-ranks.js';
+import type {WaitEstimate} from '../admission/wait-estimate.js';
 import type {FailoverLease, FailoverOrders} from '../groups/failover-lease.js';
 import type {HandoverPort} from '../groups/primary-handover.js';
 import type {PrimaryOrder} from '../groups/primary-order.js';
@@ -25,12 +27,13 @@
 import type {QuotaDecision} from '../quota/types.js';
 import {PositionCertificates} from '../routing/certificates.js';
 import type {StatementConnector} from '../statements/connection.js';
-import type {Logger} from '../telemetry/log.js';
-import {notRun, type Verdict} from '../verdict/verdict.js';
+import type {LogFields, Logger} from '../telemetry/log.js';
+import {notRun, type NotRun, type Verdict} from '../verdict/verdict.js';
 import type {TeamConnection} from './team-connection.js';
 import {CertifiedReads} from './certified-reads.js';
 import {GroupMember} from './group-member.js';
 import type {GroupRight, HomeContext} from './home-context.js';
+import {mayFallBackToHome} from './home-forwarder.js';
 import type {HomeMetrics} from './home-metrics.js';
 import {OpenTransactions} from './open-transactions.js';
 import {PrimaryWrites} from './primary-writes.js';
@@ -48,6 +51,7 @@
   TransactionStatements,
   type OpenTransaction,
 } from './transaction-statements.js';
+import type {Priority} from './types.js';
 import {WriteGate} from './write-gate.js';
 
 /**
@@ -259,10 +263,14 @@
     signal: AbortSignal,
   ): Promise<StatementResult> {
     this.#running += 1;
+    let estimate: WaitEstimate | undefined;
+    const onRefused = (refusedBy: WaitEstimate) => (estimate = refusedBy);
     try {
-      const result = await this.#execute(req, signal);
+      const result = await this.#execute(req, signal, onRefused);
       if (signal.aborted && result.pin !== undefined) this.release(result.pin);
-      if (result.verdict.kind !== 'done') this.#logFailure(req, result.verdict);
+      const {verdict} = result;
+      if (verdict.kind !== 'done') this.#logFailure(req, verdict, estimate);
+      if (verdict.kind === 'notRun') this.#countRefusal(req, verdict);
       return result;
     } finally {
       this.#running -= 1;
@@ -289,6 +297,7 @@
   #logFailure(
     req: StatementRequest,
     verdict: Exclude<Verdict, {kind: 'done'}>,
+    estimate: WaitEstimate | undefined,
   ): void {
     const {clock, log, group, isFirstHome} = this.#options;
     const leader = this.#members.get(this.#leadership.leaderId ?? '');
@@ -298,6 +307,7 @@
       group,
       team: req.team,
       consistency: req.consistency,
+      priority: req.priority,
       reason: verdict.reason,
       nearOnly: req.nearOnly,
       retryAfterMs:
@@ -310,12 +320,20 @@
       leaderPinned: leader?.pool.pinned,
       certificateAgeMs: Math.round(ageMs),
       databases: this.#members.size,
+      ...toLogFields(estimate),
     });
   }
 
+  /** Counts a refusal, except of a read that the entry sends elsewhere. */
+  #countRefusal(req: StatementRequest, verdict: NotRun): void {
+    if (req.nearOnly && mayFallBackToHome(req, verdict)) return;
+    this.#options.metrics.recordRefusal(req.priority, verdict.reason);
+  }
+
   async #execute(
     req: StatementRequest,
     signal: AbortSignal,
+    onRefused: (estimate: WaitEstimate) => void,
   ): Promise<StatementResult> {
     if (req.pin !== undefined)
       return this.#transactionStatements.run(req, req.pin);
@@ -326,6 +344,7 @@
       arrivedAt: now,
       latencyGoalAt: now + req.latencyGoalMs,
       deadlineAt: now + req.deadlineMs,
+      onRefused,
     };
     const isRead = req.kind === 'read' && req.opens === undefined;
     await this.#prepareRight(req);
@@ -481,6 +500,15 @@
     });
   }
 
+  /**
+   * Below the most urgent work, like that of the least urgent route where two
+   * priorities are configured; no lower, as reads at replicas depend on it.
+   */
+  get #certificatePriority(): Priority {
+    const {routes} = this.#options.catalog();
+    return Math.min(1, Math.max(0, rankPriorities(routes.values()).size - 1));
+  }
+
   /** Fetches a certificate when no statement at the primary brought one. */
   async #refreshCertificates(signal: AbortSignal): Promise<void> {
     const {clock, catalog} = this.#options;
@@ -489,11 +517,23 @@
       const ageMs = clock.now() - this.#certificates.newestAt;
       const [team] = catalog().teams.keys();
       if (ageMs < CERTIFICATE_REFRESH_MS || team === undefined) continue;
-      await this.#reads.fetchCertificate(team);
+      await this.#reads.fetchCertificate(team, this.#certificatePriority);
     }
   }
 }
 
+function toLogFields(estimate: WaitEstimate | undefined): LogFields {
+  if (estimate === undefined) return {};
+  return {
+    estimatedWaitMs: Math.round(estimate.waitMs),
+    aheadMs: Math.round(estimate.sameMs),
+    moreUrgentMs: Math.round(estimate.urgentMs),
+    arrivingMs: Math.round(estimate.arrivingMs),
+    lessUrgentMs: Math.round(estimate.floorMs),
+    concurrency: estimate.concurrency,
+  };
+}
+
 /** Whether only the primary can serve a statement. */
 function needsPrimary({consistency, kind, opens}: StatementRequest): boolean {
   if (consistency === 'primary') return true;
--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -14,6 +14,7 @@
 import type {HomeContext} from './home-context.js';
 import type {GroupMember} from './group-member.js';
 import type {Slot} from './connection-pool.js';
+import type {Priority} from './types.js';
 import {
   acceptsWork,
   acquireSlot,
@@ -25,7 +26,6 @@
   noRight,
   recordBegin,
   readTimeoutMs,
-  tooManyTransactionsVerdict,
   type StatementAttempt,
 } from './statement-attempt.js';
 import {failedStatement, type StatementResult} from './statement-request.js';
@@ -94,13 +94,13 @@
   }
 
   /** Fetches a certificate of the primary's position for reads at replicas. */
-  async fetchCertificate(team: string): Promise<void> {
+  async fetchCertificate(team: string, priority: Priority): Promise<void> {
     const {clock, leadership, members} = this.#ctx;
     const member = members.get(leadership.leaderId ?? '');
     if (member === undefined || !member.health.isReachable) return;
     const acquired = await member.pool.acquire({
       team,
-      priority: 'ordinary',
+      priority,
       deadlineAt: clock.now() + CERTIFICATE_TIMEOUT_MS,
       cancelled: new AbortController().signal,
       values: {},
@@ -140,26 +140,35 @@
   ): Promise<StatementResult> {
     const {members, clock} = this.#ctx;
     const avoid = new Set<string>();
+    /** Databases whose queues are too long to meet the latency goal. */
+    const full = new Set<string>();
+    let mayBeLate = attempt.latencyGoalAt <= clock.now();
     let last: Verdict | undefined;
-    for (let tries = 0; tries < MAX_TRIES; tries++) {
+    for (let tries = 0; tries < MAX_TRIES;) {
       if (attempt.signal.aborted || clock.now() >= attempt.deadlineAt) break;
       const required = this.#requiredPosition(attempt);
       const [id] = this.#rankDatabases(attempt, required, avoid);
       const member = id === undefined ? undefined : members.get(id);
-      if (member === undefined) break;
+      if (member === undefined) {
+        // The home knows the queues of all databases; a reader passes on to it.
+        if (mayBeLate || full.size === 0 || attempt.req.nearOnly) break;
+        mayBeLate = true;
+        for (const fullId of full) avoid.delete(fullId);
+        continue;
+      }
       avoid.add(member.id);
-      const isFirst = tries === 0 && attempt.latencyGoalAt > clock.now();
-      const queueUntil = isFirst ? attempt.latencyGoalAt : attempt.deadlineAt;
       const acquired = await acquireSlot(
         this.#ctx,
         attempt,
         member,
-        queueUntil,
+        mayBeLate ? attempt.deadlineAt : attempt.latencyGoalAt,
       );
       if (acquired.kind === 'refused') {
         last = soonerRetry(last, acquired.verdict);
+        if (acquired.estimate !== undefined) full.add(member.id);
         continue;
       }
+      tries += 1;
       const {result, verdict} = await runAt(member, acquired.slot, required);
       if (result !== undefined) return result;
       last = verdict ?? last;
@@ -206,13 +215,6 @@
     required: Position | undefined,
   ): Promise<TryOutcome> {
     const {transactions} = this.#ctx;
-    if (!member.pool.mayPin) {
-      slot.release();
-      return {
-        result: undefined,
-        verdict: tooManyTransactionsVerdict(member.id),
-      };
-    }
     const claim = claimPrimary(this.#ctx, member);
     if (claim === undefined && !mayReadAt(attempt, required))
       return this.#releaseNotPrimary(member, slot);
--- a/src/home/connection-pool.ts
+++ b/src/home/connection-pool.ts
@@ -3,24 +3,37 @@
  * A slot is a connection together with the right to use it.
  */
 import {ConcurrencyLimit} from '../admission/concurrency-limit.js';
-import {FairQueue} from '../admission/fair-queue.js';
+import {
+  FairQueue,
+  FLOOR_DISPATCH_INTERVAL,
+  type SchedulingParams,
+} from '../admission/fair-queue.js';
+import type {WaitEstimate} from '../admission/wait-estimate.js';
 import type {DatabaseSpec} from '../groups/types.js';
 import type {Clock} from '../infra/clock.js';
 import {startTimer} from '../infra/timer.js';
+import {RetrySpacing} from '../quota/retry-spacing.js';
 import {
   TargetError,
   type TargetConnection,
   type TransactionStatus,
 } from '../targets/types.js';
 import {notRun, type NotRun} from '../verdict/verdict.js';
+import {
+  ConnectionReservations,
+  UNPINNED_RESERVE,
+} from './connection-reservations.js';
+import {ExecutionTimes} from './execution-times.js';
 import {CANCELLED, type Priority} from './types.js';
 
-/** Weight of the newest sample in the average statement time. */
-const COST_SMOOTHING = 0.1;
-const INITIAL_COST_MS = 2;
 const UNAVAILABLE_RETRY_MS = 100;
-/** Connections that open transactions must leave for other work. */
-const UNPINNED_RESERVE = 2;
+/** Weight of the newest sample in the average time to get a connection. */
+const OPENING_SMOOTHING = 0.1;
+/**
+ * How often queued statements with a latency goal are reviewed: often enough
+ * to refuse one well before its deadline, and seldom for a node with few cores.
+ */
+const REVIEW_PERIOD_MS = 50;
 
 /** A request for a slot. */
 export interface SlotRequest {
@@ -28,6 +41,12 @@
   readonly priority: Priority;
   /** The caller's deadline, on the node's monotonic clock. */
   readonly deadlineAt: number;
+  /** Time until which an answer has its full value; the deadline if absent. */
+  readonly latencyGoalAt?: number | undefined;
+  /** Kind of work by which its execution time is expected; any if absent. */
+  readonly workKind?: string | undefined;
+  /** True if it opens a transaction that will reserve its connection. */
+  readonly opensTransaction?: boolean | undefined;
   /** Aborts when the caller cancels the statement. */
   readonly cancelled: AbortSignal;
 }
@@ -35,7 +54,12 @@
 /** The outcome of a slot request. */
 export type SlotResult<C = TargetConnection> =
   | {readonly kind: 'granted'; readonly slot: Slot<C>}
-  | {readonly kind: 'refused'; readonly verdict: NotRun};
+  | {
+      readonly kind: 'refused';
+      readonly verdict: NotRun;
+      /** The expected wait, if that was the reason. */
+      readonly estimate?: WaitEstimate;
+    };
 
 /** A connection that a pool can hold. */
 export interface PooledConnection {
@@ -63,6 +87,8 @@
 /** A connection in use. */
 export interface Slot<C = TargetConnection> {
   readonly connection: C;
+  /** Time in the queue, without that for opening a connection. */
+  readonly waitedMs: number;
   /** Reserves the connection for an open transaction and frees its slot. */
   pin(): void;
   /** Returns the connection to the pool, or closes it if it is unusable. */
@@ -85,11 +111,12 @@
 
 interface Waiter<C, Req> {
   readonly req: Req;
+  readonly queuedAt: number;
   readonly settle: (result: SlotResult<C>) => void;
 }
 
 /**
- * Grants slots of one database, urgent work first, fairly between teams.
+ * Grants slots of one database by priority, fairly between teams.
  *
  * @example
  * const result = await pool.acquire({team, priority, deadlineAt, cancelled});
@@ -104,13 +131,18 @@
   readonly #options: ConnectionPoolOptions<C, Req>;
   readonly #queue: FairQueue<Waiter<C, Req>>;
   readonly #concurrency: ConcurrencyLimit;
+  readonly #times = new ExecutionTimes();
+  readonly #reservations: ConnectionReservations;
+  readonly #retrySpacings = new Map<string, RetrySpacing>();
   #running = 0;
   #pinned = 0;
-  #costMs = INITIAL_COST_MS;
+  #openingMs = 0;
+  #isReviewing = false;
   #closed = false;
 
   constructor(options: ConnectionPoolOptions<C, Req>) {
     this.#options = options;
+    this.#reservations = new ConnectionReservations(options);
     this.#concurrency = new ConcurrencyLimit({
       slots: () => options.spec.slots,
       connections: () => options.connectionLimit() - this.#pinned,
@@ -139,7 +171,12 @@
 
   /** Average statement time, in milliseconds. */
   get costMs(): number {
-    return this.#costMs;
+    return this.#times.averageMs;
+  }
+
+  /** Expected execution time of a kind of work, in milliseconds. */
+  expectedMs(workKind: string): number {
+    return this.#times.expectedMs(workKind);
   }
 
   /** Maximum number of statements that run concurrently. */
@@ -154,9 +191,13 @@
     if (!this.#options.isReachable()) {
       return this.#unavailable('does not answer');
     }
+    if (req.opensTransaction && !this.#reservations.mayReserve(req.team)) {
+      return this.#tooManyTransactions(req);
+    }
     if (this.#queue.size === 0 && this.#hasFreeSlot) {
       this.#running++;
-      return this.#open(req);
+      this.#queue.recordStart(this.#orderOf(req));
+      return this.#open(req, 0);
     }
     return this.#enqueue(req);
   }
@@ -182,10 +223,12 @@
 
   #enqueue(req: Req): Promise<SlotResult<C>> {
     const {clock} = this.#options;
+    const order = this.#orderOf(req);
+    const queuedAt = clock.now();
     return new Promise(resolve => {
-      const remainingMs = req.deadlineAt - clock.now();
+      const remainingMs = req.deadlineAt - queuedAt;
       const stopTimer = startTimer(clock, remainingMs, () => {
-        if (this.#queue.remove(waiter)) settle(this.#overloaded(this.#costMs));
+        if (this.#queue.remove(waiter)) settle(this.#expired(req));
       });
       const onCancel = () => {
         if (this.#queue.remove(waiter)) settle(CANCELLED_RESULT);
@@ -196,42 +239,91 @@
         resolve(result);
       };
       req.cancelled.addEventListener('abort', onCancel);
-      const waiter: Waiter<C, Req> = {req, settle};
-      const offered = this.#queue.offer(waiter, {
-        team: req.team,
-        class: req.priority,
-        deadlineMs: req.deadlineAt,
-        costMs: this.#costMs,
-      });
+      const waiter: Waiter<C, Req> = {req, queuedAt, settle};
+      const offered = this.#queue.offer(waiter, order);
       if (offered.kind === 'refused') {
-        return settle(this.#overloaded(offered.retryAfterMs));
+        const estimate = this.#queue.estimate(order);
+        return settle(this.#overloaded(req, offered.retryAfterMs, estimate));
+      }
+      if (req.latencyGoalAt !== undefined) this.#startReviews();
+      // The limit may have risen since the last slot became free.
+      this.#dispatch();
+    });
+  }
+
+  #orderOf(req: Req): SchedulingParams {
+    const {team, priority, deadlineAt, latencyGoalAt, workKind} = req;
+    const openingMs = workKind === undefined ? 0 : this.#openingMs;
+    return {
+      team,
+      priority,
+      deadlineMs: deadlineAt,
+      latencyGoalMs: latencyGoalAt,
+      costMs: this.#times.expectedMs(workKind) + openingMs,
+    };
+  }
+
+  /** Refuses queued requests once they are not expected to be in time. */
+  #startReviews(): void {
+    if (this.#isReviewing || this.#queue.size === 0) return;
+    this.#isReviewing = true;
+    startTimer(this.#options.clock, REVIEW_PERIOD_MS, () => {
+      this.#isReviewing = false;
+      for (const {req, settle} of this.#queue.takeHopeless()) {
+        settle(this.#expired(req));
       }
+      this.#startReviews();
     });
   }
 
   /** Takes an idle connection or opens one; `#running` already counts it. */
-  async #open(req: Req): Promise<SlotResult<C>> {
+  async #open(req: Req, waitedMs: number): Promise<SlotResult<C>> {
+    const {clock, source} = this.#options;
+    const startedAt = clock.now();
+    const endReservation = req.opensTransaction
+      ? this.#reservations.tryReserve(req.team)
+      : undefined;
+    if (req.opensTransaction && endReservation === undefined) {
+      this.#freeSlot();
+      return this.#tooManyTransactions(req);
+    }
     try {
-      const connection = await this.#options.source.take(req);
+      const connection = await source.take(req);
+      const tookMs = clock.now() - startedAt;
+      this.#openingMs += OPENING_SMOOTHING * (tookMs - this.#openingMs);
       if (!req.cancelled.aborted && !this.#closed) {
-        return {kind: 'granted', slot: this.#createSlot(connection)};
+        const slot = this.#createSlot(
+          req,
+          connection,
+          waitedMs,
+          endReservation,
+        );
+        return {kind: 'granted', slot};
       }
+      endReservation?.();
       this.returnConnection(connection);
       this.#freeSlot();
       return req.cancelled.aborted ? CANCELLED_RESULT : this.#left();
     } catch (err) {
+      endReservation?.();
       this.#freeSlot();
       const reason = err instanceof TargetError ? err.message : String(err);
       return this.#unavailable(`can't be reached: ${reason}`);
     }
   }
 
-  #createSlot(connection: C): Slot<C> {
+  #createSlot(
+    {workKind}: Req,
+    connection: C,
+    waitedMs: number,
+    endReservation: (() => void) | undefined,
+  ): Slot<C> {
     const startedAt = this.#options.clock.now();
     let pinned = false;
     let released = false;
     return {
       connection,
+      waitedMs,
       pin: () => {
         if (pinned || released) return;
         pinned = true;
@@ -241,12 +333,13 @@
       release: () => {
         if (released) return;
         released = true;
+        endReservation?.();
         this.returnConnection(connection);
         if (pinned) {
           this.#pinned--;
           return this.#dispatch();
         }
-        this.#recordCost(this.#options.clock.now() - startedAt);
+        this.#times.record(workKind, this.#options.clock.now() - startedAt);
         this.#freeSlot();
       },
     };
@@ -276,27 +369,68 @@
       const taken = this.#queue.take();
       if (taken === undefined) return;
       if (taken.kind === 'expired') {
-        taken.item.settle(this.#overloaded(this.#costMs));
+        taken.item.settle(this.#expired(taken.item.req));
         continue;
       }
       this.#running++;
-      const {req, settle} = taken.item;
-      void this.#open(req).then(settle);
+      const {req, queuedAt, settle} = taken.item;
+      const waitedMs = this.#options.clock.now() - queuedAt;
+      void this.#open(req, waitedMs).then(settle);
     }
   }
 
-  #recordCost(elapsedMs: number): void {
-    this.#costMs += COST_SMOOTHING * (elapsedMs - this.#costMs);
+  /** Refuses a request that was queued and can't run in time any more. */
+  #expired(req: Req): SlotResult<C> {
+    const order = this.#orderOf(req);
+    const estimate = this.#queue.estimate(order);
+    const isGoalKnown = req.latencyGoalAt !== undefined;
+    const earliestMs = isGoalKnown ? estimate.waitMs : this.#times.averageMs;
+    return this.#overloaded(req, earliestMs, estimate);
   }
 
-  #overloaded(retryAfterMs: number): SlotResult<C> {
+  #overloaded(
+    req: Req,
+    earliestMs: number,
+    estimate: WaitEstimate,
+  ): SlotResult<C> {
     const message = `the queue for ${this.#options.spec.id} is longer than the deadline allows`;
+    const retryAfterMs =
+      req.latencyGoalAt === undefined
+        ? earliestMs
+        : this.#spaceRetry(
+            `priority ${req.priority}`,
+            earliestMs,
+            slotsFor(estimate) / this.#orderOf(req).costMs,
+          );
     return {
       kind: 'refused',
       verdict: notRun('overloaded', message, Math.ceil(retryAfterMs)),
+      estimate,
+    };
+  }
+
+  #tooManyTransactions(req: Req): SlotResult<C> {
+    const freeMs = this.#reservations.nextFreeMs(req.team);
+    const message = `${this.#options.spec.id} has as many open transactions as its connections allow`;
+    const retryAfterMs = this.#spaceRetry(
+      `transactions of ${req.team}`,
+      freeMs,
+      1 / freeMs,
+    );
+    return {
+      kind: 'refused',
+      verdict: notRun('overloaded', message, retryAfterMs),
     };
   }
 
+  /** Spreads the retries of callers that were refused for the same reason. */
+  #spaceRetry(cause: string, earliestMs: number, ratePerMs: number): number {
+    const known = this.#retrySpacings.get(cause);
+    const spacing = known ?? new RetrySpacing(this.#options.clock);
+    if (known === undefined) this.#retrySpacings.set(cause, spacing);
+    return spacing.nextDelayMs(earliestMs, 1_000 * ratePerMs);
+  }
+
   #left(): SlotResult<C> {
     return this.#unavailable('is no longer in the group');
   }
@@ -309,3 +443,9 @@
     };
   }
 }
+
+/** The slots that more urgent work is expected to leave for a priority. */
+function slotsFor({concurrency, arrivingMs, waitMs}: WaitEstimate): number {
+  const taken = waitMs > 0 ? arrivingMs / waitMs : 0;
+  return Math.max(concurrency / FLOOR_DISPATCH_INTERVAL, concurrency - taken);
+}
--- a/src/home/home-forwarder.ts
+++ b/src/home/home-forwarder.ts
@@ -198,7 +198,7 @@
 }
 
 /** True if the home may serve a request that a reader did not. */
-function mayFallBackToHome(req: HomeRequest, verdict: Verdict): boolean {
+export function mayFallBackToHome(req: HomeRequest, verdict: Verdict): boolean {
   if (verdict.kind === 'done') return false;
   if (verdict.kind === 'mayHaveRun') return req.kind === 'read';
   return !FINAL_AT_READER.has(verdict.reason);
--- a/src/home/home-metrics.ts
+++ b/src/home/home-metrics.ts
@@ -1,5 +1,7 @@
 /** Port to the metrics that a home records. */
 import type {FailoverAttemptOutcome} from '../groups/failover-coordinator.js';
+import type {RefusalReason} from '../verdict/verdict.js';
+import type {Priority} from './types.js';
 
 /** Counts what a home decides about a group. */
 export interface HomeMetrics {
@@ -15,4 +17,8 @@
    * had ended before its answer arrived.
    */
   recordUnacknowledgedCommit(group: string): void;
+  /** Records the time that a statement waited for a slot. */
+  recordQueueWait(priority: Priority, waitedMs: number): void;
+  /** Counts a statement that was refused without having run. */
+  recordRefusal(priority: Priority, reason: RefusalReason): void;
 }
--- a/src/home/messages.ts
+++ b/src/home/messages.ts
@@ -39,7 +39,7 @@
     typeof req.sessionId === 'string' &&
     typeof req.deadlineMs === 'number' &&
     (req.kind === 'read' || req.kind === 'write') &&
-    (req.priority === 'urgent' || req.priority === 'ordinary') &&
+    typeof req.priority === 'number' &&
     req.frames instanceof Uint8Array
   );
 }
--- a/src/home/primary-writes.ts
+++ b/src/home/primary-writes.ts
@@ -17,7 +17,6 @@
   recordBegin,
   rolledBackVerdict,
   runStatement,
-  tooManyTransactionsVerdict,
   withholdCommit,
   type StatementAttempt,
 } from './statement-attempt.js';
@@ -62,14 +61,13 @@
   }
 
   async #tryPrimary(attempt: StatementAttempt): Promise<TryOutcome> {
-    const {members, leadership, clock} = this.#ctx;
+    const {members, leadership} = this.#ctx;
     const member = members.get(leadership.leaderId ?? '');
     if (member === undefined || !member.health.isReachable) {
       return {result: undefined, verdict: noPrimary(this.#ctx)};
     }
-    const isLate = attempt.latencyGoalAt <= clock.now();
-    const queueUntil = isLate ? attempt.deadlineAt : attempt.latencyGoalAt;
-    const acquired = await acquireSlot(this.#ctx, attempt, member, queueUntil);
+    const {deadlineAt} = attempt;
+    const acquired = await acquireSlot(this.#ctx, attempt, member, deadlineAt);
     if (acquired.kind === 'refused') {
       return {result: failedStatement(acquired.verdict)};
     }
@@ -136,10 +134,6 @@
     claim: PrimaryClaim,
   ): Promise<TryOutcome> {
     const {transactions, clock} = this.#ctx;
-    if (!member.pool.mayPin) {
-      slot.release();
-      return {result: failedStatement(tooManyTransactionsVerdict(member.id))};
-    }
     const {connection} = slot;
     const sentAt = clock.now();
     const timeoutMs = Math.max(1, attempt.deadlineAt - sentAt);
--- a/src/home/statement-attempt.ts
+++ b/src/home/statement-attempt.ts
@@ -1,4 +1,5 @@
 /** A statement at its home, and helpers for reads, writes and transactions. */
+import type {WaitEstimate} from '../admission/wait-estimate.js';
 import type {Clock} from '../infra/clock.js';
 import type {DatabaseReply} from '../statements/types.js';
 import {newWorkEndsAt} from '../groups/drain-notice.js';
@@ -20,7 +21,7 @@
 
 /** Minimum timeout of a read at one database. */
 const MIN_READ_TIMEOUT_MS = 300;
-/** Timeout of a read as a multiple of the database's average statement time. */
+/** Timeout of a read as a multiple of its expected time at the database. */
 const READ_TIMEOUT_FACTOR = 8;
 /** Retry delay while open transactions hold the connections. */
 const TRANSACTION_RETRY_MS = 50;
@@ -36,6 +37,21 @@
   readonly latencyGoalAt: number;
   /** The caller's deadline. */
   readonly deadlineAt: number;
+  /** Called with the estimate by which the statement was refused. */
+  readonly onRefused?: (estimate: WaitEstimate) => void;
+}
+
+/**
+ * Returns the kind of work by which the execution time of a statement is
+ * expected: its route's consistency and what it does.
+ */
+export function workKindOf({
+  consistency,
+  opens,
+  statement,
+}: Pick<StatementRequest, 'consistency' | 'opens' | 'statement'>): string {
+  const kind = opens === undefined ? statement.access : 'opening';
+  return `${consistency} ${kind}`;
 }
 
 /** Returns whether a database may get new statements, by its drain time. */
@@ -64,10 +80,17 @@
     team: req.team,
     priority: req.priority,
     deadlineAt: Math.min(queueUntil, deadlineAt),
+    latencyGoalAt: attempt.latencyGoalAt,
+    workKind: workKindOf(req),
+    opensTransaction: req.opens !== undefined && !req.commits,
     cancelled: signal,
     values: req.values,
   });
-  if (result.kind === 'refused') return result;
+  if (result.kind === 'refused') {
+    if (result.estimate !== undefined) attempt.onRefused?.(result.estimate);
+    return result;
+  }
+  ctx.metrics.recordQueueWait(req.priority, result.slot.waitedMs);
   // The drain may have ended while the statement was queued.
   if (!acceptsWork(ctx, member.id)) {
     result.slot.release();
@@ -111,12 +134,13 @@
 /** Returns the timeout of a read at one database. */
 export function readTimeoutMs(
   ctx: HomeContext,
-  {deadlineAt}: StatementAttempt,
-  member: GroupMember,
+  {req, deadlineAt}: StatementAttempt,
+  {pool}: GroupMember,
 ): number {
+  const expectedMs = Math.max(pool.costMs, pool.expectedMs(workKindOf(req)));
   const timeoutMs = Math.max(
     MIN_READ_TIMEOUT_MS,
-    member.pool.costMs * READ_TIMEOUT_FACTOR,
+    expectedMs * READ_TIMEOUT_FACTOR,
   );
   return Math.max(1, Math.min(timeoutMs, deadlineAt - ctx.clock.now()));
 }
--- a/src/home/statement-codec.ts
+++ b/src/home/statement-codec.ts
@@ -15,7 +15,6 @@
 import type {Verdict} from '../verdict/verdict.js';
 import type {SessionValues} from './team-connection.js';
 import type {StatementRequest, StatementResult} from './statement-request.js';
-import type {Priority} from './types.js';
 
 const ACCESSES: readonly CallerStatement['access'][] = [
   'read',
@@ -24,7 +23,6 @@
 ];
 const CONSISTENCIES: readonly Consistency[] = ['primary', 'bounded', 'session'];
 const KINDS: readonly StatementRequest['kind'][] = ['read', 'write'];
-const PRIORITIES: readonly Priority[] = ['urgent', 'ordinary'];
 const OPENINGS: readonly StatementRequest['opens'][] = [
   undefined,
   'readOnly',
@@ -77,7 +75,7 @@
     req.group,
     req.team,
     KINDS.indexOf(req.kind),
-    PRIORITIES.indexOf(req.priority),
+    req.priority,
     Math.round(req.deadlineMs),
     req.commits,
     req.pin ?? '',
@@ -122,12 +120,13 @@
     nearOnly,
   ] = body as unknown as WireRequest;
   if (typeof group !== 'string' || typeof text !== 'string') return undefined;
+  if (!Number.isInteger(priority)) return undefined;
   return {
     sessionId,
     group,
     team,
     kind: KINDS[kind] ?? 'write',
-    priority: PRIORITIES[priority] ?? 'ordinary',
+    priority,
     deadlineMs,
     commits,
     pin: pin === '' ? undefined : pin,
--- a/src/home/types.ts
+++ b/src/home/types.ts
@@ -3,8 +3,11 @@
 import type {TransactionStatus} from '../targets/types.js';
 import {notRun, type NotRun, type Verdict} from '../verdict/verdict.js';
 
-/** Scheduling class in the home's queues. */
-export type Priority = 'urgent' | 'ordinary';
+/**
+ * Rank in the home's queues: 0 is the most urgent. On routes it is the rank of
+ * the route's priority among those configured.
+ */
+export type Priority = number;
 
 /** Fields of every request to a group's home, of any client protocol. */
 export interface HomeRequest {
--- a/src/index.ts
+++ b/src/index.ts
@@ -57,7 +57,6 @@
   type FairQueueOptions,
   type OfferResult,
   type TakenItem,
-  type WorkClass,
   type SchedulingParams,
 } from './admission/fair-queue.js';
 
--- a/src/node/access.ts
+++ b/src/node/access.ts
@@ -6,7 +6,7 @@
   RouteAccess,
   SessionRules,
 } from '../callers/types.js';
-import type {Priority} from '../home/types.js';
+import type {PriorityClass} from '../callers/priority-class.js';
 import type {StandingMonitor} from '../membership/standing.js';
 import {verifyKey} from '../rollout/keys.js';
 import {groupRow, teamRow, type GroupRow} from '../rollout/table.js';
@@ -106,7 +106,7 @@
 function defaultPriority(
   row: GroupRow | undefined,
   kind: 'read' | 'write',
-): Priority {
+): PriorityClass {
   if (row?.urgent === 'all') return 'urgent';
   if (row?.urgent === 'none') return 'ordinary';
   return kind === 'write' ? 'urgent' : 'ordinary';
--- a/src/node/cluster-state.ts
+++ b/src/node/cluster-state.ts
@@ -10,7 +10,9 @@
   EMPTY_CATALOG,
   type Catalog,
   type AnnouncedDatabase,
+  type Route,
 } from '../catalog/types.js';
+import {rankPriorities} from '../catalog/priority-ranks.js';
 import type {DrainNotice} from '../groups/drain-notice.js';
 import {
   decodeOrder,
@@ -107,7 +109,7 @@
   /** Instances of other nodes that were listed when this one started, by node. */
   readonly #earlierProcesses = new Map<string, string>();
   #catalog: Catalog = EMPTY_CATALOG;
-  #leastUrgentPriority = 0;
+  #priorityRanks: ReadonlyMap<number, number> = new Map();
 
   constructor(options: ClusterStateOptions) {
     const {clock, log, store} = options;
@@ -145,9 +147,9 @@
     return this.feed.sinceInterruptionMs() < LAPSE_WINDOW_MS;
   }
 
-  /** Highest priority number of all routes; 0 is the most urgent. */
-  get leastUrgentPriority(): number {
-    return this.#leastUrgentPriority;
+  /** Returns the rank of a route's priority; 0 is the most urgent. */
+  priorityRankOf({priority}: Pick<Route, 'priority'>): number {
+    return this.#priorityRanks.get(priority) ?? 0;
   }
 
   /** True if a process that started before this one may still be running. */
@@ -237,10 +239,7 @@
     }
     if (catalog.version === this.#catalog.version) return 'unchanged';
     this.#catalog = catalog;
-    const priorities = [...catalog.routes.values()].map(
-      route => route.priority,
-    );
-    this.#leastUrgentPriority = Math.max(0, ...priorities);
+    this.#priorityRanks = rankPriorities(catalog.routes.values());
     this.#options.log.info('catalogInForce', {
       version: catalog.version,
       routes: catalog.routes.size,
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -1,7 +1,6 @@
 /** Assembles a node that serves the statement protocol. */
 import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
-import type {Route} from '../catalog/types.js';
 import {MemberLease} from '../fleet/member-lease.js';
 import {peerAddressOf} from '../fleet/member-list.js';
 import type {FleetMember} from '../fleet/member-record.js';
@@ -29,7 +28,6 @@
 } from '../home/statement-request.js';
 import {decodeResult, encodeRequest} from '../home/statement-codec.js';
 import {StatementHomes} from '../home/statement-homes.js';
-import type {Priority} from '../home/types.js';
 import {SystemClock} from '../infra/clock.js';
 import {EraCheckedStore} from '../infra/era-checked-store.js';
 import type {LeasedStore} from '../infra/leased-store.js';
@@ -480,15 +478,10 @@
       }),
       release: (group, pin) => this.#release(group, pin),
       observe: end => this.metrics.observe(end),
-      priorityOf: route => this.#priorityOf(route),
+      priorityOf: route => this.#cluster.priorityRankOf(route),
     };
   }
 
-  /** Returns `urgent` unless the route has the least urgent priority of all. */
-  #priorityOf({priority}: Route): Priority {
-    return priority < this.#cluster.leastUrgentPriority ? 'urgent' : 'ordinary';
-  }
-
   #release(group: string, pin: string): void {
     const {node, local} = splitPin(pin);
     if (node === this.#options.id) return this.#homes.release(group, local);
--- a/src/sessions/statement-session.ts
+++ b/src/sessions/statement-session.ts
@@ -57,7 +57,7 @@
   readonly release: (group: string, pin: string) => void;
   /** Records a finished statement in the metrics. */
   readonly observe: (end: FinishedStatement) => void;
-  /** Scheduling class of a route's statements. */
+  /** Rank of a route's priority among those configured. */
   readonly priorityOf: (route: Route) => Priority;
 }
 
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -6,6 +6,7 @@
 import type {PeerCallOutcome} from '../fleet/peer-backed-store.js';
 import type {EraMetrics} from '../infra/era-checked-store.js';
 import type {RejectionMetrics} from '../node/cluster-state.js';
+import type {RefusalReason} from '../verdict/verdict.js';
 
 /** Bucket bounds around the target response times of the routes. */
 const LATENCY_BUCKETS_S = [
@@ -53,6 +54,8 @@
   readonly #storeEra: Gauge;
   readonly #peerCalls: Counter<'outcome'>;
   readonly #rejected: Counter<'reason'>;
+  readonly #queueWait: Histogram<'priority'>;
+  readonly #refused: Counter<'priority' | 'reason'>;
 
   constructor() {
     const registers = [this.#registry];
@@ -88,6 +91,19 @@
       buckets: DRAIN_AGE_BUCKETS_S,
       registers,
     });
+    this.#queueWait = new Histogram({
+      name: 'zinnia_queue_wait_seconds',
+      help: 'Time that statements waited for a slot, by the rank of their priority.',
+      labelNames: ['priority'],
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    });
+    this.#refused = new Counter({
+      name: 'zinnia_refused_total',
+      help: 'Statements that homes refused, by the rank of their priority.',
+      labelNames: ['priority', 'reason'],
+      registers,
+    });
     this.#storeEra = new Gauge({
       name: 'zinnia_store_era',
       help: 'How often the store was restored from a copy, by its last answer.',
@@ -125,6 +141,14 @@
     this.#unacknowledged.inc({group});
   }
 
+  recordQueueWait(priority: number, waitedMs: number): void {
+    this.#queueWait.observe({priority}, waitedMs / 1_000);
+  }
+
+  recordRefusal(priority: number, reason: RefusalReason): void {
+    this.#refused.inc({priority, reason});
+  }
+
   /** Counts a store call that went through other nodes. */
   recordPeerCall(outcome: PeerCallOutcome): void {
     this.#peerCalls.inc({outcome});
