--- a/test/telemetry/node-metrics.test.ts
+++ b/test/telemetry/node-metrics.test.ts
@@ -15,6 +15,7 @@
     members: NONE,
     homeActive: NONE,
     peerTraffic: () => [{method: 'feed.changes', scope: 'remote', bytes}],
+    evacuatedDataCentres: () => 0,
   });
   const server = await metrics.listen('127.0.0.1', 0);
   const {port} = server.address() as AddressInfo;
