--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -23,7 +23,7 @@
   type Responsibility,
 } from '../groups/failover-coordinator.js';
 import type {Clock} from '../infra/clock.js';
-import {sleepToTick} from '../infra/timer.js';
+import {runAtTicks, sleepToTick} from '../infra/timer.js';
 import type {BudgetHolder} from '../quota/budget-holder.js';
 import type {QuotaDecision} from '../quota/types.js';
 import {PositionCertificates} from '../routing/certificates.js';
@@ -32,6 +32,11 @@
 import {notRun, type NotRun, type Verdict} from '../verdict/verdict.js';
 import type {TeamConnection} from './team-connection.js';
 import {CertifiedReads} from './certified-reads.js';
+import {
+  connectionShare,
+  UNUSED_TIMEOUT_MS,
+  type SenderRole,
+} from './connection-share.js';
 import {EvacuatedDatabases} from './evacuated-databases.js';
 import {
   causeOfRefusal,
@@ -62,14 +67,8 @@
 import type {Priority} from './types.js';
 import {WriteGate} from './write-gate.js';
 
-/**
- * Share of a database's connections for the node that sends it most of its
- * work, and for any other node. A database keeps the connections of a lost
- * node open for some seconds, while the node that takes over needs as many.
- */
-const MAIN_NODE_SHARE = 0.5;
-const OTHER_NODE_SHARE = 0.3;
-const MIN_CONNECTIONS = 2;
+/** Period at which connections that the node no longer needs are closed. */
+const UNUSED_CHECK_MS = 500;
 /**
  * How long a database whose announcement expired in a store outage is kept. It
  * is announced again about two seconds after the store is back.
@@ -223,6 +222,9 @@
     void this.#keeper.run(signal);
     void this.#evacuated.run(signal);
     void this.#refreshCertificates(signal);
+    void runAtTicks(this.#options.clock, UNUSED_CHECK_MS, signal, () =>
+      this.#closeUnused(),
+    );
   }
 
   /** Stops at once; open transactions are rolled back. */
@@ -467,8 +469,26 @@
   #connectionLimit(id: string): number {
     const {catalog, group} = this.#options;
     const all = catalog().groups.get(group)?.maxConnections ?? 0;
-    const share = this.#isMainNodeFor(id) ? MAIN_NODE_SHARE : OTHER_NODE_SHARE;
-    return Math.max(MIN_CONNECTIONS, Math.floor(all * share));
+    return connectionShare(all, this.#roleFor(id));
+  }
+
+  #roleFor(id: string): SenderRole {
+    if (this.#isMainNodeFor(id)) return 'main';
+    const {isFirstHome, responsibility} = this.#options;
+    return isFirstHome() || responsibility().isSelf ? 'fallback' : 'other';
+  }
+
+  /**
+   * Closes connections that have become idle on a node that is not a database's
+   * main one, so that they don't count against its limit for as long as the node
+   * serves other databases of the group.
+   */
+  #closeUnused(): void {
+    const oldest = this.#options.clock.now() - UNUSED_TIMEOUT_MS;
+    for (const member of this.#members.values()) {
+      if (this.#isMainNodeFor(member.id)) continue;
+      member.connections.closeSilentSince(oldest);
+    }
   }
 
   /** True if this node sends a database most of its work. */
