--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -23,6 +23,7 @@
 import {sleepToTick} from '../infra/timer.js';
 import type {BudgetHolder} from '../quota/budget-holder.js';
 import type {QuotaDecision} from '../quota/types.js';
+import type {DatabaseLoad, GroupSharing} from '../load/types.js';
 import {PositionCertificates} from '../routing/certificates.js';
 import type {StatementConnector} from '../statements/connection.js';
 import type {Logger} from '../telemetry/log.js';
@@ -107,6 +108,8 @@
   readonly drainMs: number;
   /** Returns whether announcements may have expired in a store outage. */
   readonly mayHaveLapsed: () => boolean;
+  /** Load information of the group's other senders; undefined if not shared. */
+  readonly sharing?: GroupSharing | undefined;
 }
 
 /**
@@ -178,6 +181,7 @@
       metrics: options.metrics,
       drainNoticeOf: options.drainNoticeOf,
       drainMs: options.drainMs,
+      sharing: options.sharing,
     };
     this.#ctx = ctx;
     this.#reads = new CertifiedReads(ctx);
@@ -196,6 +200,13 @@
     return this.#options.clock.now() - this.#lastUsedAt;
   }
 
+  /** This node's work at the group's databases; those without it are left out. */
+  get loads(): readonly DatabaseLoad[] {
+    return [...this.#members.values()]
+      .map(member => member.load)
+      .filter(({outstanding}) => outstanding > 0);
+  }
+
   start(): void {
     const {signal} = this.#stopping;
     this.#transactions.start();
@@ -330,7 +341,7 @@
     const isRead = req.kind === 'read' && req.opens === undefined;
     await this.#prepareRight(req);
     const refusal = this.#earlyRefusal(attempt);
-    if (refusal !== undefined) return failedStatement(refusal);
+    if (refusal !== undefined) return refusal;
     const quota = await this.#admit(req);
     if (quota.kind === 'refused') {
       const isOverRate = quota.reason === 'overRate';
@@ -352,19 +363,20 @@
   }
 
   /** Refuses what no database can serve now, before a token is spent. */
-  #earlyRefusal(attempt: StatementAttempt): Verdict | undefined {
+  #earlyRefusal(attempt: StatementAttempt): StatementResult | undefined {
     const {req} = attempt;
     if (req.nearOnly) return this.#reads.refuseIfNoneNearby(attempt);
-    if (!needsPrimary(req)) return undefined;
-    if (!this.#right.isHeld) return noRight(req.group);
+    if (!needsPrimary(req)) return this.#reads.refuseIfTooLate(attempt);
+    if (!this.#right.isHeld) return failedStatement(noRight(req.group));
     const {leaderId} = this.#leadership;
     const canServe = leaderId !== undefined && acceptsWork(this.#ctx, leaderId);
     if (canServe) return undefined;
-    return notRun(
+    const verdict = notRun(
       'noPrimary',
       `group ${req.group} has no primary now`,
       this.#primaryRetryMs,
     );
+    return failedStatement(verdict);
   }
 
   /** Acquires the right to the primary, and waits for it if the work needs it. */
--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -8,8 +8,9 @@
 import {laterPosition, type Position} from '../session/position.js';
 import type {PrimaryClaim} from '../groups/primary-rights.js';
 import type {DatabaseCommand, DatabaseReply} from '../statements/types.js';
-import {placeRead} from '../routing/read-placement.js';
-import {notRun, type NotRun, type Verdict} from '../verdict/verdict.js';
+import {placeRead, type PlacementCandidate} from '../routing/read-placement.js';
+import {FULL_WEIGHT_MS} from '../load/report-weight.js';
+import {notRun, type Verdict} from '../verdict/verdict.js';
 import type {TeamConnection} from './team-connection.js';
 import type {HomeContext} from './home-context.js';
 import type {GroupMember} from './group-member.js';
@@ -76,21 +77,56 @@
   /**
    * Refuses a read at once if no database in this data centre can serve it
    * soon; the entry then sends it to the group's home, which uses all of them.
+   * Where the senders share their load, a full replica keeps the read if no other
+   * database is expected to complete it sooner.
    */
-  refuseIfNoneNearby(attempt: StatementAttempt): NotRun | undefined {
+  refuseIfNoneNearby(attempt: StatementAttempt): StatementResult | undefined {
     const required = this.#requiredPosition(attempt);
     const [id] = required
       ? this.#rankDatabases(attempt, required, new Set())
       : [];
     const member = this.#ctx.members.get(id ?? '');
-    const isBusy =
-      member !== undefined &&
-      member.pool.outstanding >= member.entry.slots * MAX_STATEMENTS_PER_SLOT;
+    const isBusy = member !== undefined && this.#isFull(member);
     if (member !== undefined && !isBusy) return undefined;
-    const {group, dataCentre} = this.#ctx;
+    const {group, dataCentre, sharing} = this.#ctx;
     const lacking = isBusy ? 'has a free slot soon' : 'is fresh and answers';
     const message = `no replica of group ${group} in ${dataCentre} ${lacking}`;
-    return notRun('homeUnavailable', message, 0);
+    const refusal = failedStatement(notRun('homeUnavailable', message, 0));
+    if (sharing === undefined || member === undefined) return refusal;
+    const sooner = this.#soonestElsewhere(attempt, required);
+    if (sooner === member.id) return undefined;
+    this.#logPassedOn(attempt, member, sooner);
+    sharing.recordPassedOn();
+    return {...refusal, fullReplica: member.load};
+  }
+
+  /**
+   * Refuses a read at once if the work of other nodes alone keeps every database
+   * from completing it by its deadline. This node's own queues refuse by their
+   * order, in which an urgent statement is ahead of others.
+   */
+  refuseIfTooLate(attempt: StatementAttempt): StatementResult | undefined {
+    const {clock, sharing, members, group, log} = this.#ctx;
+    if (sharing?.load.ageMs() === undefined) return undefined;
+    const required = this.#requiredPosition(attempt);
+    const ids = this.#rankDatabases(attempt, required, new Set());
+    const soonestMs = Math.min(
+      ...ids.map(id => {
+        const workMs = sharing.load.workElsewhereMs(id);
+        const slots = members.get(id)?.entry.slots ?? 1;
+        return workMs / Math.max(1, slots);
+      }),
+    );
+    const lateMs = clock.now() + soonestMs - attempt.deadlineAt;
+    if (ids.length === 0 || lateMs <= 0) return undefined;
+    log.info('readRefusedForOthers', {
+      request: attempt.req.statement.requestId,
+      group,
+      soonestMs: Math.round(soonestMs),
+      reportAgeMs: Math.round(sharing.load.ageMs() ?? 0),
+    });
+    const message = `the databases of group ${group} are busy for longer than the deadline allows`;
+    return failedStatement(notRun('overloaded', message, Math.ceil(lateMs)));
   }
 
   /** Fetches a certificate of the primary's position for reads at replicas. */
@@ -144,9 +180,15 @@
     for (let tries = 0; tries < MAX_TRIES; tries++) {
       if (attempt.signal.aborted || clock.now() >= attempt.deadlineAt) break;
       const required = this.#requiredPosition(attempt);
-      const [id] = this.#rankDatabases(attempt, required, avoid);
+      const full = this.#fullReplica(attempt);
+      const excluded =
+        full === undefined ? avoid : new Set([...avoid, full.id]);
+      const [id] = this.#rankDatabases(attempt, required, excluded);
       const member = id === undefined ? undefined : members.get(id);
-      if (member === undefined) break;
+      if (member === undefined) {
+        last ??= full && fullVerdict(full);
+        break;
+      }
       avoid.add(member.id);
       const isFirst = tries === 0 && attempt.latencyGoalAt > clock.now();
       const queueUntil = isFirst ? attempt.latencyGoalAt : attempt.deadlineAt;
@@ -347,13 +389,104 @@
     return laterPosition(covering, req.position);
   }
 
-  #rankDatabases(
+  /** Whether a database has as much work, of all nodes, as a reader lets queue. */
+  #isFull({id, pool, entry}: GroupMember): boolean {
+    const elsewhere = this.#ctx.sharing?.load.outstandingElsewhere(id) ?? 0;
+    const outstanding = pool.outstanding + elsewhere;
+    return outstanding >= entry.slots * MAX_STATEMENTS_PER_SLOT;
+  }
+
+  /**
+   * Returns the replica that was too full for the reader that passed this read
+   * on, while it is: what the reader said counts as long as a report does in full,
+   * and after that the reports do.
+   */
+  #fullReplica({req, arrivedAt}: StatementAttempt): GroupMember | undefined {
+    const {sharing, members, clock} = this.#ctx;
+    if (sharing === undefined || req.fullReplica === undefined)
+      return undefined;
+    const member = members.get(req.fullReplica.databaseId);
+    if (member === undefined) return undefined;
+    const isRecent = clock.now() - arrivedAt < FULL_WEIGHT_MS;
+    return isRecent || this.#isFull(member) ? member : undefined;
+  }
+
+  /**
+   * Returns the database of the whole group that is expected to complete a read
+   * soonest. The home is assumed to have open connections to the others.
+   */
+  #soonestElsewhere(
+    attempt: StatementAttempt,
+    required: Position | undefined,
+  ): string | undefined {
+    const {members, leadership, clock, dataCentre, sharing} = this.#ctx;
+    const req = {...attempt.req, nearOnly: undefined};
+    const candidates = this.#candidates({req}, required).map(candidate => {
+      const {id, isReachable} = candidate;
+      if (members.get(id)?.entry.dataCentre === dataCentre) return candidate;
+      const isSilent = sharing?.load.isUnreachableElsewhere(id) ?? false;
+      return {
+        ...candidate,
+        isPrimary: id === leadership.leaderId,
+        isReachable: isReachable && !isSilent,
+        connectMs: 0,
+      };
+    });
+    const [soonest] = placeRead({
+      candidates,
+      needed: required,
+      now: clock.now(),
+      avoid: new Set(),
+    });
+    return soonest;
+  }
+
+  #logPassedOn(
     {req}: StatementAttempt,
+    {id, pool, entry}: GroupMember,
+    sooner: string | undefined,
+  ): void {
+    const {log, group, sharing} = this.#ctx;
+    const load = sharing?.load;
+    const ageMs = load?.ageMs();
+    log.info('readPassedOn', {
+      request: req.statement.requestId,
+      group,
+      database: id,
+      outstanding: pool.outstanding,
+      outstandingElsewhere: load && Math.round(load.outstandingElsewhere(id)),
+      slots: entry.slots,
+      costMs: Math.round(pool.costMs),
+      reportAgeMs: ageMs && Math.round(ageMs),
+      soonest: sooner,
+    });
+  }
+
+  #rankDatabases(
+    attempt: StatementAttempt,
     required: Position | undefined,
     avoid: ReadonlySet<string>,
   ): readonly string[] {
-    const {members, leadership, clock, dataCentre, right} = this.#ctx;
-    const candidates = [...members.values()]
+    const candidates = this.#candidates(attempt, required);
+    const isPrimaryOnly = attempt.req.consistency === 'primary';
+    return placeRead({
+      candidates: isPrimaryOnly
+        ? candidates.filter(({isPrimary}) => isPrimary)
+        : candidates,
+      needed: required,
+      now: this.#ctx.clock.now(),
+      avoid,
+    });
+  }
+
+  /** The databases that may serve a read, with their state. */
+  #candidates(
+    {req}: Pick<StatementAttempt, 'req'>,
+    required: Position | undefined,
+  ): readonly PlacementCandidate[] {
+    const {members, leadership, dataCentre, right, sharing} = this.#ctx;
+    const load = sharing?.load;
+    return [...members.values()]
       .filter(({entry: {id, isDraining}}) =>
         id === leadership.leaderId ? acceptsWork(this.#ctx, id) : !isDraining,
       )
@@ -370,22 +503,21 @@
         isReachable: member.health.isReachable,
         outstanding: member.pool.outstanding,
         slots: member.entry.slots,
-        costMs: member.pool.costMs,
+        // A replica to which only others have sent work is not measured here.
+        costMs: Math.max(
+          member.pool.costMs,
+          load?.costElsewhereMs(member.id) ?? 0,
+        ),
         connectMs: member.connectMs(req.team),
         roundTripMs:
           member.entry.dataCentre === dataCentre ? 0 : REMOTE_PENALTY_MS,
         visiblePosition: member.visiblePosition,
         lastShortfall: member.lastLagRefusal,
+        shared: load && {
+          concurrency: member.pool.concurrency,
+          workElsewhereMs: load.workElsewhereMs(member.id),
+        },
       }));
-    const isPrimaryOnly = req.consistency === 'primary';
-    return placeRead({
-      candidates: isPrimaryOnly
-        ? candidates.filter(({isPrimary}) => isPrimary)
-        : candidates,
-      needed: required,
-      now: clock.now(),
-      avoid,
-    });
   }
 
   #notPrimary({id}: GroupMember): Verdict {
@@ -414,6 +546,13 @@
   return required !== undefined && req.consistency !== 'primary';
 }
 
+/** Creates the refusal of a read that only a full replica could serve. */
+function fullVerdict({id, pool, entry}: GroupMember): Verdict {
+  const statementMs = pool.costMs / Math.max(1, entry.slots);
+  const message = `database ${id} is full and no other can serve the read`;
+  return notRun('overloaded', message, Math.max(1, Math.ceil(statementMs)));
+}
+
 /** Returns the refusal after which the caller may retry sooner. */
 function soonerRetry(a: Verdict | undefined, b: Verdict): Verdict {
   if (a?.kind !== 'notRun' || b.kind !== 'notRun') return b;
--- a/src/home/group-member.ts
+++ b/src/home/group-member.ts
@@ -3,6 +3,7 @@
 import {PassiveHealth} from '../membership/passive-health.js';
 import type {Clock} from '../infra/clock.js';
 import {startTimer} from '../infra/timer.js';
+import type {DatabaseLoad} from '../load/types.js';
 import {laterPosition, type Position} from '../session/position.js';
 import type {StatementConnector} from '../statements/connection.js';
 import type {DatabaseReply, DatabaseState} from '../statements/types.js';
@@ -80,6 +81,17 @@
     return this.entry.id;
   }
 
+  /** This node's work at the database, as it is reported to other nodes. */
+  get load(): DatabaseLoad {
+    const {outstanding, costMs, concurrency} = this.pool;
+    return {
+      databaseId: this.id,
+      outstanding,
+      costMs,
+      concurrency: this.health.isReachable ? concurrency : 0,
+    };
+  }
+
   /** The highest log position whose data was visible at the database. */
   get visiblePosition(): Position | undefined {
     return this.#visiblePosition;
--- a/src/home/home-context.ts
+++ b/src/home/home-context.ts
@@ -3,6 +3,7 @@
 import type {Leadership} from '../groups/leadership.js';
 import type {PrimaryClaim} from '../groups/primary-rights.js';
 import type {Clock} from '../infra/clock.js';
+import type {GroupSharing} from '../load/types.js';
 import type {PositionCertificates} from '../routing/certificates.js';
 import type {Logger} from '../telemetry/log.js';
 import type {TeamConnection} from './team-connection.js';
@@ -40,4 +41,6 @@
   readonly drainNoticeOf: (id: string) => DrainNotice | undefined;
   /** Time from a database's announcement until it may shut down. */
   readonly drainMs: number;
+  /** Load information of the group's other senders; undefined if not shared. */
+  readonly sharing?: GroupSharing | undefined;
 }
--- a/src/home/home-forwarder.ts
+++ b/src/home/home-forwarder.ts
@@ -78,7 +78,8 @@
     const {clock, failed} = this.#options;
     const deadlineAt = clock.now() + req.deadlineMs;
     const nearby = await this.#tryNearbyReader(req, sink, signal);
-    if (nearby !== undefined) return nearby;
+    if (nearby?.isFinal) return nearby.result;
+    const fullReplica = nearby?.result.fullReplica;
     const homes = this.#rankHomes(req.group);
     let last = failed(noHome(req.group));
     let lost: Res | undefined;
@@ -86,7 +87,11 @@
       const leftMs = deadlineAt - clock.now();
       if (leftMs <= 0) break;
       const tracked = trackParts(sink);
-      const attempt = {...req, deadlineMs: leftMs};
+      const attempt = {
+        ...req,
+        deadlineMs: leftMs,
+        ...(fullReplica && {fullReplica}),
+      };
       last = await this.#tryHome(home, attempt, tracked.sink, signal);
       if (last.verdict.kind === 'mayHaveRun') lost = last;
       if (!mayTryNext(req, last.verdict, tracked.forwarded())) break;
@@ -95,20 +100,21 @@
     return last.verdict.kind === 'notRun' ? (lost ?? last) : last;
   }
 
-  /** Tries a nearby reader; undefined if the request must go to the home. */
+  /** Tries a nearby reader; undefined if there is none that answers. */
   async #tryNearbyReader(
     req: Req,
     sink: Sink<Part>,
     signal: AbortSignal,
-  ): Promise<Res | undefined> {
+  ): Promise<{readonly result: Res; readonly isFinal: boolean} | undefined> {
     const {readerOf, watch} = this.#options;
     const reader = readerOf?.(req);
     if (reader === undefined || watch?.isSilent(reader.id)) return undefined;
     const tracked = trackParts(sink);
     const attempt = {...req, nearOnly: true};
     const result = await this.#tryHome(reader, attempt, tracked.sink, signal);
-    const isFinal = !mayFallBackToHome(req, result.verdict);
-    return isFinal || tracked.forwarded() ? result : undefined;
+    const isFinal =
+      !mayFallBackToHome(req, result.verdict) || tracked.forwarded();
+    return {result, isFinal};
   }
 
   /** The preferred homes, silent ones last in case no other is left. */
--- a/src/home/statement-codec.ts
+++ b/src/home/statement-codec.ts
@@ -4,6 +4,8 @@
  * encoding.
  */
 import type {Consistency} from '../catalog/types.js';
+import {decodeLoad, encodeLoad, type WireLoad} from '../load/report-codec.js';
+import type {DatabaseLoad} from '../load/types.js';
 import type {Position} from '../session/position.js';
 import type {
   CallerStatement,
@@ -55,6 +57,7 @@
   values: SessionValues | 0,
   opens: number,
   nearOnly: boolean,
+  fullReplica?: WireLoad,
 ];
 
 /** A result as sent between peers; the verdict `done` is sent as 0. */
@@ -66,6 +69,7 @@
   rows: readonly string[] | 0,
   signature: string,
   error: readonly [code: DatabaseErrorCode, detail: string] | 0,
+  fullReplica?: WireLoad,
 ];
 
 /** Encodes a request. */
@@ -94,12 +98,15 @@
     Object.keys(req.values).length === 0 ? 0 : req.values,
     OPENINGS.indexOf(req.opens),
     req.nearOnly ?? false,
+    ...encodeOptionalLoad(req.fullReplica),
   ];
 }
 
 /** Decodes a request; undefined if it is malformed. */
 export function decodeRequest(body: unknown): StatementRequest | undefined {
-  if (!Array.isArray(body) || body.length !== REQUEST_FIELDS) return undefined;
+  if (!Array.isArray(body)) return undefined;
+  if (body.length < REQUEST_FIELDS || body.length > REQUEST_FIELDS + 1)
+    return undefined;
   const [
     sessionId,
     group,
@@ -120,6 +127,7 @@
     values,
     opens,
     nearOnly,
+    fullReplica,
   ] = body as unknown as WireRequest;
   if (typeof group !== 'string' || typeof text !== 'string') return undefined;
   return {
@@ -144,6 +152,7 @@
     values: values === 0 ? {} : values,
     opens: OPENINGS[opens],
     nearOnly: nearOnly || undefined,
+    ...(fullReplica && {fullReplica: decodeLoad(fullReplica)}),
   };
 }
 
@@ -158,13 +167,22 @@
     output === undefined ? 0 : output.rows,
     output?.signature ?? '',
     output?.error === undefined ? 0 : [output.error.code, output.error.detail],
+    ...encodeOptionalLoad(result.fullReplica),
   ];
 }
 
 /** Decodes a result. */
 export function decodeResult(body: unknown): StatementResult {
-  const [verdict, transaction, pin, position, rows, signature, error] =
-    body as WireResult;
+  const [
+    verdict,
+    transaction,
+    pin,
+    position,
+    rows,
+    signature,
+    error,
+    fullReplica,
+  ] = body as WireResult;
   const output: StatementOutput | undefined =
     rows === 0
       ? undefined
@@ -179,11 +197,20 @@
     pin: pin === '' ? undefined : pin,
     position: decodePosition(position),
     output,
+    ...(fullReplica && {fullReplica: decodeLoad(fullReplica)}),
   };
 }
 
+/** Fields of a request without those that are left out when unset. */
 const REQUEST_FIELDS = 19;
 
+/** A field that is left out when unset: few statements carry it. */
+function encodeOptionalLoad(
+  load: DatabaseLoad | undefined,
+): readonly [] | readonly [WireLoad] {
+  return load === undefined ? [] : [encodeLoad(load)];
+}
+
 function decodePrepared([access, shape]: readonly [
   number,
   string,
--- a/src/home/statement-homes.ts
+++ b/src/home/statement-homes.ts
@@ -4,6 +4,8 @@
 import type {PrimaryOrder} from '../groups/primary-order.js';
 import type {Clock} from '../infra/clock.js';
 import {runAtTicks} from '../infra/timer.js';
+import type {GroupWork} from '../load/load-sharing.js';
+import type {GroupSharing} from '../load/types.js';
 import type {PeerHandler} from '../peers/types.js';
 import {notRun} from '../verdict/verdict.js';
 import {CertifiedHome, type CertifiedHomeOptions} from './certified-home.js';
@@ -24,7 +26,7 @@
 /** Options of the statement homes. */
 export interface StatementHomesOptions extends Omit<
   CertifiedHomeOptions,
-  'group' | 'isFirstHome' | 'responsibility' | 'readerIn'
+  'group' | 'isFirstHome' | 'responsibility' | 'readerIn' | 'sharing'
 > {
   readonly clock: Clock;
   readonly catalog: () => Catalog;
@@ -34,6 +36,8 @@
   readonly readerIn: (group: string, dataCentre: string) => string | undefined;
   /** Returns which node should replace a group's primary. */
   readonly responsibility: (group: string) => Responsibility;
+  /** Returns the load information of a group; none if nodes share none. */
+  readonly sharingOf?: (group: string) => GroupSharing | undefined;
 }
 
 /** Runs statements on the groups whose home is on this node. */
@@ -84,6 +88,14 @@
     );
   }
 
+  /** This node's work at the databases of each group that it serves. */
+  get work(): readonly GroupWork[] {
+    return Array.from(this.#homes, ([group, home]) => ({
+      group,
+      loads: home.loads,
+    }));
+  }
+
   /** Starts opening homes of the groups that this node should serve. */
   start(): void {
     const {signal} = this.#stopping;
@@ -136,14 +148,21 @@
   #ensureHome(group: string): CertifiedHome {
     const known = this.#homes.get(group);
     if (known !== undefined) return known;
-    const {isFirstHome, responsibility, readerIn, entries, ...common} =
-      this.#options;
+    const {
+      isFirstHome,
+      responsibility,
+      readerIn,
+      entries,
+      sharingOf,
+      ...common
+    } = this.#options;
     const home = new CertifiedHome({
       ...common,
       group,
       isFirstHome: () => isFirstHome(group),
       readerIn: dataCentre => readerIn(group, dataCentre),
       responsibility: () => responsibility(group),
+      sharing: sharingOf?.(group),
     });
     this.#homes.set(group, home);
     for (const entry of entries()) {
--- a/src/home/types.ts
+++ b/src/home/types.ts
@@ -1,4 +1,5 @@
 /** Requests from entry nodes to a group's home, and their results. */
+import type {DatabaseLoad} from '../load/types.js';
 import type {Position} from '../session/position.js';
 import type {TransactionStatus} from '../targets/types.js';
 import {notRun, type NotRun, type Verdict} from '../verdict/verdict.js';
@@ -22,6 +23,11 @@
   readonly pin: string | undefined;
   /** True if only databases in the home's own data centre may serve it. */
   readonly nearOnly?: boolean | undefined;
+  /**
+   * The work of a reader at its replica, which it found full when it passed the
+   * read on. The home does not send the read there while that lasts.
+   */
+  readonly fullReplica?: DatabaseLoad | undefined;
 }
 
 /** Fields of every result of a group's home. */
@@ -32,6 +38,8 @@
   readonly pin: string | undefined;
   /** Position in the group's log that the session has reached. */
   readonly position: Position | undefined;
+  /** Set if a reader passes the read on because this replica is full. */
+  readonly fullReplica?: DatabaseLoad | undefined;
 }
 
 /** A batch of statements to run on a group's databases. */
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -30,6 +30,7 @@
 import {decodeResult, encodeRequest} from '../home/statement-codec.js';
 import {StatementHomes} from '../home/statement-homes.js';
 import type {Priority} from '../home/types.js';
+import {LoadSharing} from '../load/load-sharing.js';
 import {SystemClock} from '../infra/clock.js';
 import {EraCheckedStore} from '../infra/era-checked-store.js';
 import type {LeasedStore} from '../infra/leased-store.js';
@@ -85,6 +86,8 @@
   /** Port for other nodes. */
   readonly peerPort: number;
   readonly cores: number;
+  /** Whether nodes tell one another their load at the databases they share. */
+  readonly sharesLoad: boolean;
   /** Age of the configuration above which keyed work is refused. */
   readonly maxCatalogAgeMs: number;
   /** Length of the sliding window of the teams' limits, in milliseconds. */
@@ -144,6 +147,9 @@
   readonly #budgets: NodeBudgets;
   readonly #rights: PrimaryRights;
   readonly #handover: PrimaryHandover;
+  readonly #instance = randomUUID().slice(0, 8);
+  /** Undefined if the nodes share no load. */
+  readonly #loadSharing: LoadSharing | undefined;
   readonly #homes: StatementHomes;
   readonly #homeMonitor: HomeMonitor;
   readonly #sessionContext: SessionContext;
@@ -240,6 +246,9 @@
       rights: this.#rights,
       self: id,
     });
+    this.#loadSharing = options.sharesLoad
+      ? this.#createLoadSharing()
+      : undefined;
     this.#homes = this.#createHomes();
     this.#sessionContext = this.#createSessionContext();
     this.#peerServer = new PeerServer({
@@ -249,6 +258,7 @@
       clock,
       handlers: new Map<string, PeerHandler>([
         ...this.#homes.handlers,
+        ...(this.#loadSharing?.handlers ?? []),
         [PING_METHOD, async () => true],
         [RELAY_METHOD, async body => this.#cluster.relay.serve(body)],
         [STORE_CALL_METHOD, body => store.serve(body)],
@@ -294,6 +304,7 @@
     );
     void this.#homeMonitor.run(signal);
     this.#homes.start();
+    void this.#loadSharing?.run(signal);
     const {id, host, peerPort, dataCentre} = this.#options;
     await this.#waitForCatalog();
     await this.#learnFromPeers();
@@ -413,10 +424,24 @@
 
   #createMember(): FleetMember {
     const {id, host, peerPort: port, dataCentre, cores} = this.#options;
-    const instance = randomUUID().slice(0, 8);
+    const instance = this.#instance;
     return {id, host, port, dataCentre, instance, cores, isLeaving: false};
   }
 
+  #createLoadSharing(): LoadSharing {
+    return new LoadSharing({
+      clock: this.#clock,
+      log: this.#options.log,
+      peers: this.#peers,
+      metrics: this.metrics,
+      instance: this.#instance,
+      work: () => this.#homes.work,
+      otherSenders: group =>
+        this.#placement.otherSenders(group).map(peerAddressOf),
+      isCurrent: (node, instance) => this.#placement.isCurrent(node, instance),
+    });
+  }
+
   #createHomes(): StatementHomes {
     const {id, log, connector, orders, dataCentre, minLeaseMs} = this.#options;
     const clock = this.#clock;
@@ -449,6 +474,7 @@
       drainNoticeOf: database => this.#cluster.drainNoticeOf(database),
       drainMs: this.#options.drainMs,
       mayHaveLapsed: () => this.#cluster.mayHaveLapsed,
+      sharingOf: group => this.#loadSharing?.of(group),
     });
   }
 
--- a/src/node/work-placement.ts
+++ b/src/node/work-placement.ts
@@ -88,6 +88,41 @@
     return reader && peerAddressOf(reader);
   }
 
+  /**
+   * Returns the other nodes that send to a group's databases: its home, the node
+   * that stands in for a silent one, and the readers.
+   */
+  otherSenders(group: string): readonly FleetMember[] {
+    const {self, clusterState, homeMonitor} = this.#options;
+    const homes = this.homeOrder(group);
+    const dataCentres = new Set<string>();
+    for (const entry of clusterState.entries) {
+      if (entry.group === group) dataCentres.add(entry.dataCentre);
+    }
+    const readers = [...dataCentres].map(dataCentre =>
+      this.readerIn(group, dataCentre),
+    );
+    const senders = new Set([
+      homes[0],
+      this.firstResponsive(homes),
+      ...readers,
+    ]);
+    return [...senders].filter(
+      member =>
+        member !== undefined &&
+        member.id !== self &&
+        !homeMonitor.isSilent(member.id),
+    ) as readonly FleetMember[];
+  }
+
+  /** Whether a node is a member that answers, and this is its current process. */
+  isCurrent(node: string, instance: string): boolean {
+    const {clusterState, homeMonitor} = this.#options;
+    const member = clusterState.members.find(node);
+    if (member === undefined || member.isLeaving) return false;
+    return member.instance === instance && !homeMonitor.isSilent(node);
+  }
+
   /** Returns the nodes in order of preference as the owner of a team's budget. */
   budgetOrder(team: string): readonly FleetMember[] {
     return this.#options.clusterState.members.stewardOrder(`budget ${team}`);
--- a/src/routing/read-placement.ts
+++ b/src/routing/read-placement.ts
@@ -9,7 +9,14 @@
  * Connections belong to teams, and there are fewer than all teams use at once.
  * Opening one occupies a slot for about as long as a statement, so that time is
  * added to the expected wait if the team has no idle connection.
+ *
+ * Where the senders of a group share their load, reads go to the database with
+ * the shortest expected completion time instead, which counts the work of all.
  */
+import {
+  expectedCompletionMs,
+  orderByCompletion,
+} from '../load/completion-time.js';
 import {covers, type Position} from '../session/position.js';
 
 /**
@@ -41,6 +48,15 @@
   /** When it last refused a read because its log lacked `position`. */
   readonly lastShortfall:
     {readonly at: number; readonly position: Position} | undefined;
+  /** Set if the senders of the group share their load. */
+  readonly shared?:
+    | {
+        /** Statements that this node may run there concurrently. */
+        readonly concurrency: number;
+        /** Expected execution time of the other nodes' statements there. */
+        readonly workElsewhereMs: number;
+      }
+    | undefined;
 }
 
 /** Input of {@link placeRead}. */
@@ -64,13 +80,16 @@
  */
 export function placeRead(input: PlacementInput): readonly string[] {
   const {candidates, needed, now, avoid} = input;
-  return candidates
+  const usable = candidates
     .filter(candidate => candidate.isReachable && !avoid.has(candidate.id))
     .filter(
       candidate =>
         candidate.isPrimary ||
         (needed !== undefined && mayInclude(candidate, needed, now)),
-    )
+    );
+  if (usable.some(({shared}) => shared !== undefined))
+    return orderByCompletion(usable.map(rankSharedCandidate)).map(({id}) => id);
+  return usable
     .map(candidate => ({
       id: candidate.id,
       waitMs: expectedWaitMs(candidate),
@@ -95,8 +114,19 @@
 function expectedWaitMs(candidate: PlacementCandidate): number {
   const queuedMs =
     (candidate.outstanding / Math.max(1, candidate.slots)) * candidate.costMs;
-  const penaltyMs = candidate.isPrimary
-    ? PRIMARY_PENALTY_STATEMENTS * candidate.costMs
-    : 0;
+  const penaltyMs = primaryPenaltyMs(candidate);
   return queuedMs + penaltyMs + candidate.connectMs + candidate.roundTripMs;
 }
+
+function primaryPenaltyMs({isPrimary, costMs}: PlacementCandidate): number {
+  return isPrimary ? PRIMARY_PENALTY_STATEMENTS * costMs : 0;
+}
+
+function rankSharedCandidate(candidate: PlacementCandidate) {
+  const {id, slots, connectMs, shared} = candidate;
+  const {concurrency = slots, workElsewhereMs = 0} = shared ?? {};
+  const completionMs =
+    expectedCompletionMs({...candidate, concurrency, workElsewhereMs}) +
+    primaryPenaltyMs(candidate);
+  return {id, completionMs, connectMs};
+}
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -5,6 +5,7 @@
 import type {HomeMetrics} from '../home/home-metrics.js';
 import type {PeerCallOutcome} from '../fleet/peer-backed-store.js';
 import type {EraMetrics} from '../infra/era-checked-store.js';
+import type {LoadMetrics, LoadReportOutcome} from '../load/types.js';
 import type {RejectionMetrics} from '../node/cluster-state.js';
 
 /** Bucket bounds around the target response times of the routes. */
@@ -43,7 +44,9 @@
  * const metrics = new NodeMetrics();
  * metrics.observe({group: 'claims', kind: 'read', outcome: 'done', elapsedMs: 7});
  */
-export class NodeMetrics implements HomeMetrics, EraMetrics, RejectionMetrics {
+export class NodeMetrics
+  implements HomeMetrics, EraMetrics, RejectionMetrics, LoadMetrics
+{
   readonly #registry = new Registry();
   readonly #statements: Counter<'group' | 'kind' | 'outcome'>;
   readonly #latency: Histogram<'kind'>;
@@ -53,6 +56,8 @@
   readonly #storeEra: Gauge;
   readonly #peerCalls: Counter<'outcome'>;
   readonly #rejected: Counter<'reason'>;
+  readonly #loadReports: Counter<'outcome'>;
+  readonly #passedOn: Counter<'group'>;
 
   constructor() {
     const registers = [this.#registry];
@@ -105,6 +110,18 @@
       labelNames: ['reason'],
       registers,
     });
+    this.#loadReports = new Counter({
+      name: 'zinnia_load_reports_total',
+      help: 'Reports of load at shared databases, by what became of them.',
+      labelNames: ['outcome'],
+      registers,
+    });
+    this.#passedOn = new Counter({
+      name: 'zinnia_reads_passed_on_total',
+      help: 'Reads that a reader with a full replica passed on to the home.',
+      labelNames: ['group'],
+      registers,
+    });
   }
 
   /** Counts a statement; records its latency only if its outcome is `done`. */
@@ -144,6 +161,14 @@
     this.#rejected.inc({reason});
   }
 
+  recordLoadReport(outcome: LoadReportOutcome): void {
+    this.#loadReports.inc({outcome});
+  }
+
+  recordPassedOn(group: string): void {
+    this.#passedOn.inc({group});
+  }
+
   /** Registers the gauges, which are read at each scrape. */
   registerGauges(gauges: NodeGauges): void {
     const add = (name: string, help: string, read: () => number) =>
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -40,6 +40,16 @@
     });
   });
 
+  it('has the nodes share their load where the contracts say pool', () => {
+    const shares = (contracts: string) =>
+      parseSettings(`${SETTINGS}contracts=${contracts}\n`, 'boot.conf')
+        .sharesLoad;
+    expect(parseSettings(SETTINGS, 'boot.conf').sharesLoad).toBe(false);
+    expect(['pool', 'pressure, pool', 'pressure', 'pools'].map(shares)).toEqual(
+      [true, true, false, false],
+    );
+  });
+
   it('is rejected with every invalid field named', () => {
     const invalid = SETTINGS.replace('ip=10.1.0.26\n', '')
       .replace('7560,7575', 'many')
--- a/test/statements/read-placement.test.ts
+++ b/test/statements/read-placement.test.ts
@@ -143,6 +143,49 @@
   });
 });
 
+describe('read placement by the load of all senders', () => {
+  const candidate = (
+    id: string,
+    rest: Partial<PlacementCandidate>,
+    workElsewhereMs = 0,
+  ): PlacementCandidate => ({
+    id,
+    isPrimary: false,
+    isReachable: true,
+    outstanding: 0,
+    slots: SLOTS,
+    costMs: COST_MS,
+    connectMs: 0,
+    roundTripMs: 0,
+    visiblePosition: undefined,
+    lastShortfall: undefined,
+    shared: {concurrency: SLOTS + 1, workElsewhereMs},
+    ...rest,
+  });
+  const order = (...candidates: PlacementCandidate[]) =>
+    placeRead({
+      candidates,
+      needed: {term: 1, offset: 1},
+      now: 0,
+      avoid: new Set(),
+    });
+
+  it('counts the work of others, and the execution time at each database', () => {
+    const full = candidate('full', {}, 10 * COST_MS);
+    const slow = candidate('slow', {costMs: 3 * COST_MS});
+    const mine = candidate('mine', {outstanding: 3});
+    expect(order(full, slow, mine)).toEqual(['mine', 'slow', 'full']);
+  });
+
+  it('prefers an open connection between about the same completion times', () => {
+    const opens = candidate('opens', {connectMs: 2});
+    const has = candidate('has', {}, 2 * SLOTS + 2);
+    expect(order(opens, has)).toEqual(['has', 'opens']);
+    const busy = candidate('busy', {}, 9 * SLOTS);
+    expect(order(opens, busy)).toEqual(['opens', 'busy']);
+  });
+});
+
 const TEAMS = 8;
 const CONNECTIONS = 8;
 const OPENING_MS = 12;
--- a/test/statements/statement-codec.test.ts
+++ b/test/statements/statement-codec.test.ts
@@ -34,6 +34,7 @@
   values: {colour: 'red'},
   opens: 'readWrite',
   nearOnly: true,
+  fullReplica: {databaseId: 'db-1', outstanding: 9, costMs: 50, concurrency: 7},
 };
 
 describe('statement codec', () => {
@@ -46,6 +47,7 @@
       values: {},
       opens: undefined,
       nearOnly: undefined,
+      fullReplica: undefined,
       statement: {
         requestId: 'r2',
         access: 'read',
@@ -72,6 +74,7 @@
       pin: undefined,
       position: undefined,
       output: undefined,
+      fullReplica: REQUEST.fullReplica,
     },
     {
       verdict: mayHaveRun('targetLost', 'gone'),
