--- a/src/fleet/member-lease.ts
+++ b/src/fleet/member-lease.ts
@@ -76,7 +76,10 @@
   #revision = 0;
   /** The store's era in which this node's record was last written. */
   #recordEra = 0;
-  /** The lease of the record; undefined while a write has not been answered. */
+  /**
+   * The lease of the record; undefined while a write has not been answered, or if
+   * the record has changed since.
+   */
   #recordLease: string | undefined;
   /** Whether the lease is one of a node with work. */
   #isShort: boolean;
@@ -131,6 +134,12 @@
     return this.#isShort ? RENEW_PERIOD_MS : IDLE_RENEW_PERIOD_MS;
   }
 
+  /** Marks this node's record as slow, or no longer, with the next renewal. */
+  setSlow(isSlow: boolean): void {
+    this.#self = {...this.#self, isSlow: isSlow || undefined};
+    this.#recordLease = undefined;
+  }
+
   /** Marks this node's record as leaving, so that it receives no new work. */
   async announceLeaving(): Promise<void> {
     this.#self = {...this.#self, isLeaving: true};
@@ -202,8 +211,8 @@
       this.#clearLease();
       return this.#register();
     }
-    // The copy that the store was restored from may lack the latest record, and
-    // an unanswered write may have moved it to another lease.
+    // The copy that the store was restored from may lack the latest record, an
+    // unanswered write may have moved it to another lease, or it has changed.
     if (wasRestored || this.#recordLease !== lease) await this.#write(lease);
     this.#renewedAt = sentAt;
     if (!wasHeld) this.#heldSince = clock.now();
@@ -225,7 +234,8 @@
       if (result.kind === 'swapped') {
         this.#revision = result.at.revision;
         this.#recordEra = result.at.era;
-        this.#recordLease = lease;
+        const isCurrent = value === encodeMember(this.#self);
+        this.#recordLease = isCurrent ? lease : undefined;
         return;
       }
       // Written by an earlier process of this node, or by an earlier attempt
--- a/src/fleet/member-record.ts
+++ b/src/fleet/member-record.ts
@@ -12,6 +12,12 @@
   readonly instance: string;
   /** CPU limit of the node, in cores. */
   readonly cores: number;
+  /** Link of the node, in Mbit/s; a record without it counts as large enough. */
+  readonly linkMbps?: number | undefined;
+  /** Memory of the node, in MB; a record without it counts as large enough. */
+  readonly memoryMb?: number | undefined;
+  /** Whether the node finds itself slow. */
+  readonly isSlow?: boolean | undefined;
   /** Whether the node is handing over its work and takes no more. */
   readonly isLeaving: boolean;
 }
@@ -26,6 +32,9 @@
   dataCentre: z.string(),
   instance: z.string(),
   cores: z.number().positive(),
+  linkMbps: z.number().positive().optional(),
+  memoryMb: z.number().positive().optional(),
+  isSlow: z.boolean().optional(),
   isLeaving: z.boolean(),
 });
 
--- a/src/fleet/watchers.ts
+++ b/src/fleet/watchers.ts
@@ -7,7 +7,7 @@
  * request the changes from them.
  */
 import {rankByRendezvous} from '../membership/rendezvous.js';
-import {rankHomes} from './member-list.js';
+import {rankNodes} from './member-list.js';
 import type {FleetMember} from './member-record.js';
 
 /** Watchers of a small fleet; the loss of one causes no interruption. */
@@ -25,7 +25,7 @@
   members: readonly FleetMember[],
 ): readonly FleetMember[] {
   const count = MIN_WATCHERS + Math.floor(members.length / NODES_PER_WATCHER);
-  return rankHomes('watch', members).slice(0, count);
+  return rankNodes('watch', members).slice(0, count);
 }
 
 /**
--- a/src/node/cluster-state.ts
+++ b/src/node/cluster-state.ts
@@ -213,6 +213,7 @@
       state:
         member === undefined ? 'gone' : member.isLeaving ? 'leaving' : 'live',
       instance: member?.instance,
+      isSlow: member?.isSlow,
     });
   }
 
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -3,6 +3,7 @@
 import {setMaxListeners} from 'node:events';
 import type {Route} from '../catalog/types.js';
 import {MemberLease} from '../fleet/member-lease.js';
+import {NodeDelay} from '../fleet/node-delay.js';
 import {peerAddressOf} from '../fleet/member-list.js';
 import type {FleetMember} from '../fleet/member-record.js';
 import {
@@ -86,6 +87,9 @@
   /** Port for other nodes. */
   readonly peerPort: number;
   readonly cores: number;
+  /** Link of the node in Mbit/s and its memory in MB, if they are known. */
+  readonly linkMbps?: number | undefined;
+  readonly memoryMb?: number | undefined;
   /** Whether nodes tell one another their load at the databases they share. */
   readonly sharesLoad: boolean;
   /** Age of the configuration above which keyed work is refused. */
@@ -144,6 +148,7 @@
   readonly #cluster: ClusterState;
   readonly #placement: WorkPlacement;
   readonly #lease: MemberLease;
+  readonly #delay: NodeDelay;
   readonly #budgets: NodeBudgets;
   readonly #rights: PrimaryRights;
   readonly #handover: PrimaryHandover;
@@ -217,6 +222,7 @@
       hasWork: () => this.#placement.hasWork(this.#cluster.catalog),
       fleetSize: () => this.#cluster.members.live().length,
     });
+    this.#delay = new NodeDelay({clock, log, lease: this.#lease});
     this.#budgets = new NodeBudgets({
       clock,
       log,
@@ -275,6 +281,8 @@
       catalogVersion: () => this.#cluster.catalog.version,
       members: () => this.#cluster.members.live().length,
       homeActive: () => this.#homes.active,
+      delayMs: () => this.#delay.delayMs,
+      isSlow: () => this.#delay.isSlow,
     };
   }
 
@@ -298,6 +306,7 @@
     await this.#peerServer.listen();
     void this.#cluster.feed.run(signal);
     void this.#lease.run(signal);
+    void this.#delay.run(signal);
     void this.#rights.run(signal);
     void runAtTicks(this.#clock, ERA_CHECK_PERIOD_MS, signal, () =>
       this.#handover.noteEra(),
@@ -424,8 +433,10 @@
 
   #createMember(): FleetMember {
     const {id, host, peerPort: port, dataCentre, cores} = this.#options;
+    const {linkMbps, memoryMb} = this.#options;
     const instance = this.#instance;
-    return {id, host, port, dataCentre, instance, cores, isLeaving: false};
+    const size = {cores, linkMbps, memoryMb};
+    return {id, host, port, dataCentre, instance, ...size, isLeaving: false};
   }
 
   #createLoadSharing(): LoadSharing {
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -35,6 +35,10 @@
   readonly members: () => number;
   /** Statements and open transactions at the homes that this node runs. */
   readonly homeActive: () => number;
+  /** Average delay of this node's timers. */
+  readonly delayMs: () => number;
+  /** Whether this node marks itself as slow. */
+  readonly isSlow: () => boolean;
 }
 
 /**
@@ -197,6 +201,14 @@
       'Statements and open transactions at the homes here.',
       gauges.homeActive,
     );
+    add(
+      'zinnia_node_delay_seconds',
+      'Average delay of the timers of this node.',
+      () => gauges.delayMs() / 1_000,
+    );
+    add('zinnia_node_slow', 'Whether this node marks itself as slow.', () =>
+      Number(gauges.isSlow()),
+    );
   }
 
   /** Serves the metrics over HTTP; rejects if the port can't be bound. */
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -40,6 +40,14 @@
     });
   });
 
+  it('states link and memory, or leaves them open', () => {
+    const sized = `${SETTINGS}limits.link_mbps=7\nlimits.memory_mb=250\n`;
+    const stated = {linkMbps: 7, memoryMb: 250};
+    expect(parseSettings(sized, 'boot.conf')).toMatchObject(stated);
+    const open = {linkMbps: undefined, memoryMb: undefined};
+    expect(parseSettings(SETTINGS, 'boot.conf')).toMatchObject(open);
+  });
+
   it('has the nodes share their load where the contracts say pool', () => {
     const shares = (contracts: string) =>
       parseSettings(`${SETTINGS}contracts=${contracts}\n`, 'boot.conf')
