--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -366,11 +366,11 @@
   #earlyRefusal(attempt: StatementAttempt): StatementResult | undefined {
     const {req} = attempt;
     if (req.nearOnly) return this.#reads.refuseIfNoneNearby(attempt);
-    if (!needsPrimary(req)) return this.#reads.refuseIfTooLate(attempt);
+    if (!needsPrimary(req)) return this.#reads.refuseIfLateForOthers(attempt);
     if (!this.#right.isHeld) return failedStatement(noRight(req.group));
     const {leaderId} = this.#leadership;
     const canServe = leaderId !== undefined && acceptsWork(this.#ctx, leaderId);
-    if (canServe) return undefined;
+    if (canServe) return this.#reads.refuseIfLateForOthers(attempt, leaderId);
     const verdict = notRun(
       'noPrimary',
       `group ${req.group} has no primary now`,
--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -9,12 +9,17 @@
 import type {PrimaryClaim} from '../groups/primary-rights.js';
 import type {DatabaseCommand, DatabaseReply} from '../statements/types.js';
 import {placeRead, type PlacementCandidate} from '../routing/read-placement.js';
-import {FULL_WEIGHT_MS} from '../load/report-weight.js';
 import {notRun, type Verdict} from '../verdict/verdict.js';
 import type {TeamConnection} from './team-connection.js';
 import type {HomeContext} from './home-context.js';
 import type {GroupMember} from './group-member.js';
 import type {Slot} from './connection-pool.js';
+import {
+  fullReplicaOf,
+  fullVerdict,
+  isFull,
+  logPassedOn,
+} from './full-replica.js';
 import {
   acceptsWork,
   acquireSlot,
@@ -39,11 +44,6 @@
  */
 const REMOTE_PENALTY_MS = 4;
 const CERTIFICATE_TIMEOUT_MS = 300;
-/**
- * Statements per slot of a nearby replica, one running and one waiting. Beyond
- * that, reads go to the group's home, which knows the queues of all databases.
- */
-const MAX_STATEMENTS_PER_SLOT = 2;
 const NO_DATABASE_RETRY_MS = 200;
 
 /** Outcome of one try; without a result another database may be tried. */
@@ -86,7 +86,7 @@
       ? this.#rankDatabases(attempt, required, new Set())
       : [];
     const member = this.#ctx.members.get(id ?? '');
-    const isBusy = member !== undefined && this.#isFull(member);
+    const isBusy = member !== undefined && isFull(this.#ctx, member);
     if (member !== undefined && !isBusy) return undefined;
     const {group, dataCentre, sharing} = this.#ctx;
     const lacking = isBusy ? 'has a free slot soon' : 'is fresh and answers';
@@ -95,31 +95,41 @@
     if (sharing === undefined || member === undefined) return refusal;
     const sooner = this.#soonestElsewhere(attempt, required);
     if (sooner === member.id) return undefined;
-    this.#logPassedOn(attempt, member, sooner);
+    logPassedOn(this.#ctx, attempt, member, sooner);
     sharing.recordPassedOn();
     return {...refusal, fullReplica: member.load};
   }
 
   /**
-   * Refuses a read at once if the work of other nodes alone keeps every database
-   * from completing it by its deadline. This node's own queues refuse by their
-   * order, in which an urgent statement is ahead of others.
+   * Refuses a statement at once if the work of other nodes alone keeps every
+   * database that may run it, or the only one, from doing so by its deadline.
+   * This node's own queues refuse by their order, in which an urgent statement is
+   * ahead of others.
    */
-  refuseIfTooLate(attempt: StatementAttempt): StatementResult | undefined {
+  refuseIfLateForOthers(
+    attempt: StatementAttempt,
+    onlyId?: string,
+  ): StatementResult | undefined {
     const {clock, sharing, members, group, log} = this.#ctx;
-    if (sharing?.load.ageMs() === undefined) return undefined;
+    if (sharing === undefined) return undefined;
+    const leftMs = Math.max(0, attempt.deadlineAt - clock.now());
+    const waitMs = ({id, entry}: GroupMember) =>
+      sharing.load.workElsewhereMs(id) / Math.max(1, entry.slots);
+    // Spares the usual statement the ranking.
+    if ([...members.values()].every(member => waitMs(member) <= leftMs))
+      return undefined;
     const required = this.#requiredPosition(attempt);
-    const ids = this.#rankDatabases(attempt, required, new Set());
-    const soonestMs = Math.min(
-      ...ids.map(id => {
-        const workMs = sharing.load.workElsewhereMs(id);
-        const slots = members.get(id)?.entry.slots ?? 1;
-        return workMs / Math.max(1, slots);
-      }),
-    );
-    const lateMs = clock.now() + soonestMs - attempt.deadlineAt;
-    if (ids.length === 0 || lateMs <= 0) return undefined;
-    log.info('readRefusedForOthers', {
+    const ids =
+      onlyId === undefined
+        ? this.#rankDatabases(attempt, required, new Set())
+        : [onlyId];
+    const usable = ids
+      .map(id => members.get(id))
+      .filter(member => member !== undefined);
+    const soonestMs = Math.min(...usable.map(waitMs));
+    const lateMs = soonestMs - leftMs;
+    if (usable.length === 0 || lateMs <= 0) return undefined;
+    log.info('statementRefusedForOthers', {
       request: attempt.req.statement.requestId,
       group,
       soonestMs: Math.round(soonestMs),
@@ -180,7 +190,7 @@
     for (let tries = 0; tries < MAX_TRIES; tries++) {
       if (attempt.signal.aborted || clock.now() >= attempt.deadlineAt) break;
       const required = this.#requiredPosition(attempt);
-      const full = this.#fullReplica(attempt);
+      const full = fullReplicaOf(this.#ctx, attempt);
       const excluded =
         full === undefined ? avoid : new Set([...avoid, full.id]);
       const [id] = this.#rankDatabases(attempt, required, excluded);
@@ -389,28 +399,6 @@
     return laterPosition(covering, req.position);
   }
 
-  /** Whether a database has as much work, of all nodes, as a reader lets queue. */
-  #isFull({id, pool, entry}: GroupMember): boolean {
-    const elsewhere = this.#ctx.sharing?.load.outstandingElsewhere(id) ?? 0;
-    const outstanding = pool.outstanding + elsewhere;
-    return outstanding >= entry.slots * MAX_STATEMENTS_PER_SLOT;
-  }
-
-  /**
-   * Returns the replica that was too full for the reader that passed this read
-   * on, while it is: what the reader said counts as long as a report does in full,
-   * and after that the reports do.
-   */
-  #fullReplica({req, arrivedAt}: StatementAttempt): GroupMember | undefined {
-    const {sharing, members, clock} = this.#ctx;
-    if (sharing === undefined || req.fullReplica === undefined)
-      return undefined;
-    const member = members.get(req.fullReplica.databaseId);
-    if (member === undefined) return undefined;
-    const isRecent = clock.now() - arrivedAt < FULL_WEIGHT_MS;
-    return isRecent || this.#isFull(member) ? member : undefined;
-  }
-
   /**
    * Returns the database of the whole group that is expected to complete a read
    * soonest. The home is assumed to have open connections to the others.
@@ -441,27 +429,6 @@
     return soonest;
   }
 
-  #logPassedOn(
-    {req}: StatementAttempt,
-    {id, pool, entry}: GroupMember,
-    sooner: string | undefined,
-  ): void {
-    const {log, group, sharing} = this.#ctx;
-    const load = sharing?.load;
-    const ageMs = load?.ageMs();
-    log.info('readPassedOn', {
-      request: req.statement.requestId,
-      group,
-      database: id,
-      outstanding: pool.outstanding,
-      outstandingElsewhere: load && Math.round(load.outstandingElsewhere(id)),
-      slots: entry.slots,
-      costMs: Math.round(pool.costMs),
-      reportAgeMs: ageMs && Math.round(ageMs),
-      soonest: sooner,
-    });
-  }
-
   #rankDatabases(
     attempt: StatementAttempt,
     required: Position | undefined,
@@ -546,13 +513,6 @@
   return required !== undefined && req.consistency !== 'primary';
 }
 
-/** Creates the refusal of a read that only a full replica could serve. */
-function fullVerdict({id, pool, entry}: GroupMember): Verdict {
-  const statementMs = pool.costMs / Math.max(1, entry.slots);
-  const message = `database ${id} is full and no other can serve the read`;
-  return notRun('overloaded', message, Math.max(1, Math.ceil(statementMs)));
-}
-
 /** Returns the refusal after which the caller may retry sooner. */
 function soonerRetry(a: Verdict | undefined, b: Verdict): Verdict {
   if (a?.kind !== 'notRun' || b.kind !== 'notRun') return b;
--- a/test/load/overflow.test.ts
+++ b/test/load/overflow.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, it} from 'vitest';
+import {encodeReport, LOAD_METHOD} from '../../src/load/report-codec.js';
 import {createRandom} from '../admission/random.js';
 import {createGroup, SLOTS} from './model-group.js';
 
@@ -95,4 +96,23 @@
     await clock.advance(90);
     expect((await other).output?.rows).toEqual(['db-1']);
   });
+
+  it('is refused at once if the work of others makes it late everywhere', async () => {
+    const {clock, home, net, requestOf} = createGroup(true);
+    const loads = ['db-0', 'db-1', 'db-2'].map(databaseId => ({
+      databaseId,
+      outstanding: 60,
+      costMs: 50,
+      concurrency: 7,
+    }));
+    const report = {group: 'claims', instance: 'reader', sequence: 1, loads};
+    const reader = net.find({id: 'reader', host: 'h', port: 1})!;
+    const {address} = home.node;
+    const options = {timeoutMs: 100};
+    void reader.call(address, LOAD_METHOD, encodeReport(report), options);
+    await clock.advance(50);
+    const refused = await home.execute({...requestOf(50), deadlineMs: 400});
+    const {verdict} = refused;
+    expect(verdict).toMatchObject({reason: 'overloaded', retryAfterMs: 100});
+  });
 });
