--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -8,14 +8,20 @@
 import {laterPosition, type Position} from '../session/position.js';
 import type {PrimaryClaim} from '../groups/primary-rights.js';
 import type {DatabaseCommand, DatabaseReply} from '../statements/types.js';
-import {placeRead} from '../routing/read-placement.js';
-import {notRun, type NotRun, type Verdict} from '../verdict/verdict.js';
+import {placeRead, type PlacementCandidate} from '../routing/read-placement.js';
+import {notRun, type Verdict} from '../verdict/verdict.js';
 import {evacuatedDataCentre, evacuationRefusal} from './evacuation-refusal.js';
 import type {TeamConnection} from './team-connection.js';
 import type {HomeContext} from './home-context.js';
 import type {GroupMember} from './group-member.js';
 import type {Slot} from './connection-pool.js';
 import type {Priority} from './types.js';
+import {
+  fullReplicaOf,
+  fullVerdict,
+  isFull,
+  logPassedOn,
+} from './full-replica.js';
 import {
   acceptsWork,
   acquireSlot,
@@ -39,11 +45,6 @@
  */
 const REMOTE_PENALTY_MS = 4;
 const CERTIFICATE_TIMEOUT_MS = 300;
-/**
- * Statements per slot of a nearby replica, one running and one waiting. Beyond
- * that, reads go to the group's home, which knows the queues of all databases.
- */
-const MAX_STATEMENTS_PER_SLOT = 2;
 const NO_DATABASE_RETRY_MS = 200;
 
 /** Outcome of one try; without a result another database may be tried. */
@@ -77,21 +78,66 @@
   /**
    * Refuses a read at once if no database in this data centre can serve it
    * soon; the entry then sends it to the group's home, which uses all of them.
+   * Where the senders share their load, a full replica keeps the read if no other
+   * database is expected to complete it sooner.
    */
-  refuseIfNoneNearby(attempt: StatementAttempt): NotRun | undefined {
+  refuseIfNoneNearby(attempt: StatementAttempt): StatementResult | undefined {
     const required = this.#requiredPosition(attempt);
     const [id] = required
       ? this.#rankDatabases(attempt, required, new Set())
       : [];
     const member = this.#ctx.members.get(id ?? '');
-    const isBusy =
-      member !== undefined &&
-      member.pool.outstanding >= member.entry.slots * MAX_STATEMENTS_PER_SLOT;
+    const isBusy = member !== undefined && isFull(this.#ctx, member);
     if (member !== undefined && !isBusy) return undefined;
-    const {group, dataCentre} = this.#ctx;
+    const {group, dataCentre, sharing} = this.#ctx;
     const lacking = isBusy ? 'has a free slot soon' : 'is fresh and answers';
     const message = `no replica of group ${group} in ${dataCentre} ${lacking}`;
-    return notRun('homeUnavailable', message, 0);
+    const refusal = failedStatement(notRun('homeUnavailable', message, 0));
+    if (sharing === undefined || member === undefined) return refusal;
+    const sooner = this.#soonestElsewhere(attempt, required);
+    if (sooner === member.id) return undefined;
+    logPassedOn(this.#ctx, attempt, member, sooner);
+    sharing.recordPassedOn();
+    return {...refusal, fullReplica: member.load};
+  }
+
+  /**
+   * Refuses a statement at once if the work of other nodes alone keeps every
+   * database that may run it, or the only one, from doing so by its deadline.
+   * This node's own queues refuse by their order, in which an urgent statement is
+   * ahead of others.
+   */
+  refuseIfLateForOthers(
+    attempt: StatementAttempt,
+    onlyId?: string,
+  ): StatementResult | undefined {
+    const {clock, sharing, members, group, log} = this.#ctx;
+    if (sharing === undefined) return undefined;
+    const leftMs = Math.max(0, attempt.deadlineAt - clock.now());
+    const waitMs = ({id, entry}: GroupMember) =>
+      sharing.load.workElsewhereMs(id) / Math.max(1, entry.slots);
+    // Spares the usual statement the ranking.
+    if ([...members.values()].every(member => waitMs(member) <= leftMs))
+      return undefined;
+    const required = this.#requiredPosition(attempt);
+    const ids =
+      onlyId === undefined
+        ? this.#rankDatabases(attempt, required, new Set())
+        : [onlyId];
+    const usable = ids
+      .map(id => members.get(id))
+      .filter(member => member !== undefined);
+    const soonestMs = Math.min(...usable.map(waitMs));
+    const lateMs = soonestMs - leftMs;
+    if (usable.length === 0 || lateMs <= 0) return undefined;
+    log.info('statementRefusedForOthers', {
+      request: attempt.req.statement.requestId,
+      group,
+      soonestMs: Math.round(soonestMs),
+      reportAgeMs: Math.round(sharing.load.ageMs() ?? 0),
+    });
+    const message = `the databases of group ${group} are busy for longer than the deadline allows`;
+    return failedStatement(notRun('overloaded', message, Math.ceil(lateMs)));
   }
 
   /** Fetches a certificate of the primary's position for reads at replicas. */
@@ -149,11 +195,18 @@
     for (let tries = 0; tries < MAX_TRIES;) {
       if (attempt.signal.aborted || clock.now() >= attempt.deadlineAt) break;
       const required = this.#requiredPosition(attempt);
-      const [id] = this.#rankDatabases(attempt, required, avoid);
+      const fullReplica = fullReplicaOf(this.#ctx, attempt);
+      const excluded =
+        fullReplica === undefined ? avoid : new Set([...avoid, fullReplica.id]);
+      const [id] = this.#rankDatabases(attempt, required, excluded);
       const member = id === undefined ? undefined : members.get(id);
       if (member === undefined) {
         // The home knows the queues of all databases; a reader passes on to it.
-        if (mayBeLate || full.size === 0 || attempt.req.nearOnly) break;
+        const mayRelax = !mayBeLate && full.size > 0 && !attempt.req.nearOnly;
+        if (!mayRelax) {
+          last ??= fullReplica && fullVerdict(fullReplica);
+          break;
+        }
         mayBeLate = true;
         for (const fullId of full) avoid.delete(fullId);
         continue;
@@ -351,13 +404,62 @@
     return laterPosition(covering, req.position);
   }
 
+  /**
+   * Returns the database of the whole group that is expected to complete a read
+   * soonest. The home is assumed to have open connections to the others.
+   */
+  #soonestElsewhere(
+    attempt: StatementAttempt,
+    required: Position | undefined,
+  ): string | undefined {
+    const {members, leadership, clock, dataCentre, sharing} = this.#ctx;
+    const req = {...attempt.req, nearOnly: undefined};
+    const candidates = this.#candidates({req}, required).map(candidate => {
+      const {id, isReachable} = candidate;
+      if (members.get(id)?.entry.dataCentre === dataCentre) return candidate;
+      const isSilent = sharing?.load.isUnreachableElsewhere(id) ?? false;
+      return {
+        ...candidate,
+        isPrimary: id === leadership.leaderId,
+        isReachable: isReachable && !isSilent,
+        connectMs: 0,
+      };
+    });
+    const [soonest] = placeRead({
+      candidates,
+      needed: required,
+      now: clock.now(),
+      avoid: new Set(),
+    });
+    return soonest;
+  }
+
   #rankDatabases(
-    {req}: StatementAttempt,
+    attempt: StatementAttempt,
     required: Position | undefined,
     avoid: ReadonlySet<string>,
   ): readonly string[] {
-    const {members, leadership, clock, dataCentre, right} = this.#ctx;
-    const candidates = [...members.values()]
+    const candidates = this.#candidates(attempt, required);
+    const isPrimaryOnly = attempt.req.consistency === 'primary';
+    const ranked = placeRead({
+      candidates: isPrimaryOnly
+        ? candidates.filter(({isPrimary}) => isPrimary)
+        : candidates,
+      needed: required,
+      now: this.#ctx.clock.now(),
+      avoid,
+    });
+    return this.#evacuatedLast(ranked);
+  }
+
+  /** The databases that may serve a read, with their state. */
+  #candidates(
+    {req}: Pick<StatementAttempt, 'req'>,
+    required: Position | undefined,
+  ): readonly PlacementCandidate[] {
+    const {members, leadership, dataCentre, right, sharing} = this.#ctx;
+    const load = sharing?.load;
+    return [...members.values()]
       .filter(({id}) => acceptsWork(this.#ctx, id))
       .filter(
         ({entry: {id, isDraining}}) =>
@@ -376,23 +478,21 @@
         isReachable: member.health.isReachable,
         outstanding: member.pool.outstanding,
         slots: member.entry.slots,
-        costMs: member.pool.costMs,
+        // A replica to which only others have sent work is not measured here.
+        costMs: Math.max(
+          member.pool.costMs,
+          load?.costElsewhereMs(member.id) ?? 0,
+        ),
         connectMs: member.connectMs(req.team),
         roundTripMs:
           member.entry.dataCentre === dataCentre ? 0 : REMOTE_PENALTY_MS,
         visiblePosition: member.visiblePosition,
         lastShortfall: member.lastLagRefusal,
+        shared: load && {
+          concurrency: member.pool.concurrency,
+          workElsewhereMs: load.workElsewhereMs(member.id),
+        },
       }));
-    const isPrimaryOnly = req.consistency === 'primary';
-    const ranked = placeRead({
-      candidates: isPrimaryOnly
-        ? candidates.filter(({isPrimary}) => isPrimary)
-        : candidates,
-      needed: required,
-      now: clock.now(),
-      avoid,
-    });
-    return this.#evacuatedLast(ranked);
   }
 
   /** Moves a primary in an evacuated data centre behind the replicas elsewhere. */
--- a/src/home/statement-homes.ts
+++ b/src/home/statement-homes.ts
@@ -4,6 +4,8 @@
 import type {PrimaryOrder} from '../groups/primary-order.js';
 import type {Clock} from '../infra/clock.js';
 import {runAtTicks} from '../infra/timer.js';
+import type {GroupWork} from '../load/load-sharing.js';
+import type {GroupSharing} from '../load/types.js';
 import type {PeerHandler} from '../peers/types.js';
 import {notRun} from '../verdict/verdict.js';
 import {CertifiedHome, type CertifiedHomeOptions} from './certified-home.js';
@@ -24,7 +26,12 @@
 /** Options of the statement homes. */
 export interface StatementHomesOptions extends Omit<
   CertifiedHomeOptions,
-  'group' | 'isFirstHome' | 'responsibility' | 'readerIn' | 'isEvacuationDue'
+  | 'group'
+  | 'isFirstHome'
+  | 'responsibility'
+  | 'readerIn'
+  | 'isEvacuationDue'
+  | 'sharing'
 > {
   readonly clock: Clock;
   readonly catalog: () => Catalog;
@@ -36,6 +43,8 @@
   readonly responsibility: (group: string) => Responsibility;
   /** Returns whether a group's primary is to leave an evacuated data centre. */
   readonly isEvacuationDue: (group: string) => boolean;
+  /** Returns the load information of a group; none if nodes share none. */
+  readonly sharingOf?: (group: string) => GroupSharing | undefined;
 }
 
 /** Runs statements on the groups whose home is on this node. */
@@ -86,6 +95,14 @@
     );
   }
 
+  /** This node's work at the databases of each group that it serves. */
+  get work(): readonly GroupWork[] {
+    return Array.from(this.#homes, ([group, home]) => ({
+      group,
+      loads: home.loads,
+    }));
+  }
+
   /** Starts opening homes of the groups that this node should serve. */
   start(): void {
     const {signal} = this.#stopping;
@@ -144,6 +161,7 @@
       readerIn,
       isEvacuationDue,
       entries,
+      sharingOf,
       ...common
     } = this.#options;
     const home = new CertifiedHome({
@@ -153,6 +171,7 @@
       readerIn: dataCentre => readerIn(group, dataCentre),
       responsibility: () => responsibility(group),
       isEvacuationDue: () => isEvacuationDue(group),
+      sharing: sharingOf?.(group),
     });
     this.#homes.set(group, home);
     for (const entry of entries()) {
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -2,6 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
 import {MemberLease} from '../fleet/member-lease.js';
+import {NodeDelay} from '../fleet/node-delay.js';
 import {peerAddressOf} from '../fleet/member-list.js';
 import type {FleetMember} from '../fleet/member-record.js';
 import {
@@ -28,6 +29,7 @@
 } from '../home/statement-request.js';
 import {decodeResult, encodeRequest} from '../home/statement-codec.js';
 import {StatementHomes} from '../home/statement-homes.js';
+import {LoadSharing} from '../load/load-sharing.js';
 import {SystemClock} from '../infra/clock.js';
 import {EraCheckedStore} from '../infra/era-checked-store.js';
 import type {LeasedStore} from '../infra/leased-store.js';
@@ -84,6 +86,11 @@
   /** Port for other nodes. */
   readonly peerPort: number;
   readonly cores: number;
+  /** Link of the node in Mbit/s and its memory in MB, if they are known. */
+  readonly linkMbps?: number | undefined;
+  readonly memoryMb?: number | undefined;
+  /** Whether nodes tell one another their load at the databases they share. */
+  readonly sharesLoad: boolean;
   /** Age of the configuration above which keyed work is refused. */
   readonly maxCatalogAgeMs: number;
   /** Length of the sliding window of the teams' limits, in milliseconds. */
@@ -143,9 +150,13 @@
   readonly #cluster: ClusterState;
   readonly #placement: WorkPlacement;
   readonly #lease: MemberLease;
+  readonly #delay: NodeDelay;
   readonly #budgets: NodeBudgets;
   readonly #rights: PrimaryRights;
   readonly #handover: PrimaryHandover;
+  readonly #instance = randomUUID().slice(0, 8);
+  /** Undefined if the nodes share no load. */
+  readonly #loadSharing: LoadSharing | undefined;
   readonly #homes: StatementHomes;
   readonly #homeMonitor: HomeMonitor;
   readonly #sessionContext: SessionContext;
@@ -216,6 +227,7 @@
       hasWork: () => this.#placement.hasWork(this.#cluster.catalog),
       fleetSize: () => this.#cluster.members.live().length,
     });
+    this.#delay = new NodeDelay({clock, log, lease: this.#lease});
     this.#budgets = new NodeBudgets({
       clock,
       log,
@@ -245,6 +257,9 @@
       rights: this.#rights,
       self: id,
     });
+    this.#loadSharing = options.sharesLoad
+      ? this.#createLoadSharing()
+      : undefined;
     this.#homes = this.#createHomes();
     this.#sessionContext = this.#createSessionContext();
     this.#peerServer = new PeerServer({
@@ -255,6 +270,7 @@
       traffic: this.#traffic,
       handlers: new Map<string, PeerHandler>([
         ...this.#homes.handlers,
+        ...(this.#loadSharing?.handlers ?? []),
         [PING_METHOD, async () => true],
         [RELAY_METHOD, async body => this.#cluster.relay.serve(body)],
         [STORE_CALL_METHOD, body => store.serve(body)],
@@ -273,6 +289,8 @@
       homeActive: () => this.#homes.active,
       peerTraffic: () => this.#traffic.totals(),
       evacuatedDataCentres: () => this.#cluster.evacuations.dataCentres.length,
+      delayMs: () => this.#delay.delayMs,
+      isSlow: () => this.#delay.isSlow,
     };
   }
 
@@ -296,12 +314,14 @@
     await this.#peerServer.listen();
     void this.#cluster.feed.run(signal);
     void this.#lease.run(signal);
+    void this.#delay.run(signal);
     void this.#rights.run(signal);
     void runAtTicks(this.#clock, ERA_CHECK_PERIOD_MS, signal, () =>
       this.#handover.noteEra(),
     );
     void this.#homeMonitor.run(signal);
     this.#homes.start();
+    void this.#loadSharing?.run(signal);
     const {id, host, peerPort, dataCentre} = this.#options;
     await this.#waitForCatalog();
     await this.#learnFromPeers();
@@ -428,8 +448,24 @@
 
   #createMember(): FleetMember {
     const {id, host, peerPort: port, dataCentre, cores} = this.#options;
-    const instance = randomUUID().slice(0, 8);
-    return {id, host, port, dataCentre, instance, cores, isLeaving: false};
+    const {linkMbps, memoryMb} = this.#options;
+    const instance = this.#instance;
+    const size = {cores, linkMbps, memoryMb};
+    return {id, host, port, dataCentre, instance, ...size, isLeaving: false};
+  }
+
+  #createLoadSharing(): LoadSharing {
+    return new LoadSharing({
+      clock: this.#clock,
+      log: this.#options.log,
+      peers: this.#peers,
+      metrics: this.metrics,
+      instance: this.#instance,
+      work: () => this.#homes.work,
+      otherSenders: group =>
+        this.#placement.otherSenders(group).map(peerAddressOf),
+      isCurrent: (node, instance) => this.#placement.isCurrent(node, instance),
+    });
   }
 
   #createHomes(): StatementHomes {
@@ -466,6 +502,7 @@
       evacuations: this.#cluster.evacuations,
       isEvacuationDue: group => this.#placement.isEvacuationDue(group),
       mayHaveLapsed: () => this.#cluster.mayHaveLapsed,
+      sharingOf: group => this.#loadSharing?.of(group),
     });
   }
 
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -6,6 +6,7 @@
 import type {PeerCallOutcome} from '../fleet/peer-backed-store.js';
 import type {TrafficTotal} from '../peers/peer-traffic.js';
 import type {EraMetrics} from '../infra/era-checked-store.js';
+import type {LoadMetrics, LoadReportOutcome} from '../load/types.js';
 import type {RejectionMetrics} from '../node/cluster-state.js';
 import type {RefusalReason} from '../verdict/verdict.js';
 
@@ -39,6 +40,10 @@
   /** Bytes sent to other nodes so far. */
   readonly peerTraffic: () => readonly TrafficTotal[];
   readonly evacuatedDataCentres: () => number;
+  /** Average delay of this node's timers. */
+  readonly delayMs: () => number;
+  /** Whether this node marks itself as slow. */
+  readonly isSlow: () => boolean;
 }
 
 /**
@@ -48,7 +53,9 @@
  * const metrics = new NodeMetrics();
  * metrics.observe({group: 'claims', kind: 'read', outcome: 'done', elapsedMs: 7});
  */
-export class NodeMetrics implements HomeMetrics, EraMetrics, RejectionMetrics {
+export class NodeMetrics
+  implements HomeMetrics, EraMetrics, RejectionMetrics, LoadMetrics
+{
   readonly #registry = new Registry();
   readonly #statements: Counter<'group' | 'kind' | 'outcome'>;
   readonly #latency: Histogram<'kind'>;
@@ -61,6 +68,8 @@
   readonly #rejected: Counter<'reason'>;
   readonly #queueWait: Histogram<'priority'>;
   readonly #refused: Counter<'priority' | 'reason'>;
+  readonly #loadReports: Counter<'outcome'>;
+  readonly #passedOn: Counter<'group'>;
 
   constructor() {
     const registers = [this.#registry];
@@ -132,6 +141,18 @@
       labelNames: ['reason'],
       registers,
     });
+    this.#loadReports = new Counter({
+      name: 'zinnia_load_reports_total',
+      help: 'Reports of load at shared databases, by what became of them.',
+      labelNames: ['outcome'],
+      registers,
+    });
+    this.#passedOn = new Counter({
+      name: 'zinnia_reads_passed_on_total',
+      help: 'Reads that a reader with a full replica passed on to the home.',
+      labelNames: ['group'],
+      registers,
+    });
   }
 
   /** Counts a statement; records its latency only if its outcome is `done`. */
@@ -183,6 +204,14 @@
     this.#rejected.inc({reason});
   }
 
+  recordLoadReport(outcome: LoadReportOutcome): void {
+    this.#loadReports.inc({outcome});
+  }
+
+  recordPassedOn(group: string): void {
+    this.#passedOn.inc({group});
+  }
+
   /** Registers the gauges, which are read at each scrape. */
   registerGauges(gauges: NodeGauges): void {
     const add = (name: string, help: string, read: () => number) =>
@@ -228,6 +257,14 @@
       'Data centres that the operators have evacuated.',
       gauges.evacuatedDataCentres,
     );
+    add(
+      'zinnia_node_delay_seconds',
+      'Average delay of the timers of this node.',
+      () => gauges.delayMs() / 1_000,
+    );
+    add('zinnia_node_slow', 'Whether this node marks itself as slow.', () =>
+      Number(gauges.isSlow()),
+    );
   }
 
   /** Serves the metrics over HTTP; rejects if the port can't be bound. */
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -40,6 +40,24 @@
     });
   });
 
+  it('states link and memory, or leaves them open', () => {
+    const sized = `${SETTINGS}limits.link_mbps=7\nlimits.memory_mb=250\n`;
+    const stated = {linkMbps: 7, memoryMb: 250};
+    expect(parseSettings(sized, 'boot.conf')).toMatchObject(stated);
+    const open = {linkMbps: undefined, memoryMb: undefined};
+    expect(parseSettings(SETTINGS, 'boot.conf')).toMatchObject(open);
+  });
+
+  it('has the nodes share their load where the contracts say pool', () => {
+    const shares = (contracts: string) =>
+      parseSettings(`${SETTINGS}contracts=${contracts}\n`, 'boot.conf')
+        .sharesLoad;
+    expect(parseSettings(SETTINGS, 'boot.conf').sharesLoad).toBe(false);
+    expect(['pool', 'pressure, pool', 'pressure', 'pools'].map(shares)).toEqual(
+      [true, true, false, false],
+    );
+  });
+
   it('is rejected with every invalid field named', () => {
     const invalid = SETTINGS.replace('ip=10.1.0.26\n', '')
       .replace('7560,7575', 'many')
--- a/test/platform/fixture.ts
+++ b/test/platform/fixture.ts
@@ -64,6 +64,8 @@
   readonly drainMs?: number;
   /** Time from a request to evacuate a data centre until it must be unused. */
   readonly evacuateMs?: number;
+  /** Whether the nodes share their load. */
+  readonly sharesLoad?: boolean;
 }
 
 /**
@@ -79,6 +81,7 @@
   readonly #dataCentres: readonly string[];
   readonly #drainMs: number;
   readonly #evacuateMs: number;
+  readonly #sharesLoad: boolean;
   readonly #draining = new Set<string>();
   /** Called with each promotion order that was carried out. */
   onOrder: (holder: string) => void = () => {};
@@ -92,6 +95,7 @@
     dataCentres: readonly string[],
     drainMs: number,
     evacuateMs: number,
+    sharesLoad: boolean,
   ) {
     this.store = store;
     this.duties = duties;
@@ -99,6 +103,7 @@
     this.#dataCentres = dataCentres;
     this.#drainMs = drainMs;
     this.#evacuateMs = evacuateMs;
+    this.#sharesLoad = sharesLoad;
   }
 
   static async start(
@@ -107,6 +112,7 @@
       dataCentres = ['hobart'],
       drainMs = DRAIN_MS,
       evacuateMs = EVACUATE_MS,
+      sharesLoad = false,
       ...options
     }: PlatformOptions = {},
     config: ConfigOverrides = {},
@@ -131,6 +137,7 @@
       dataCentres,
       drainMs,
       evacuateMs,
+      sharesLoad,
     );
     platform.configure(config);
     platform.announceAll();
@@ -250,6 +257,7 @@
       dataCentre: this.#dataCentreOf(this.nodes.length),
       peerPort,
       cores: 1,
+      sharesLoad: this.#sharesLoad,
       maxCatalogAgeMs: KEY_LIMIT_MS,
       rateWindowMs: 5_000,
       rateSlack: 0,
