--- a/test/docs/commands.test.ts
+++ b/test/docs/commands.test.ts
@@ -1,6 +1,7 @@
 import {execFile} from 'node:child_process';
 import {randomUUID} from 'node:crypto';
 import {
+  copyFile,
   mkdir,
   mkdtemp,
   readdir,
@@ -33,6 +34,7 @@
   'docs/operators/limits.md',
   'docs/operators/failover.md',
   'docs/operators/databases.md',
+  'docs/operators/evacuation.md',
   'docs/operators/restarts.md',
   'docs/operators/report.md',
   'docs/operators/store-outages.md',
@@ -62,6 +64,8 @@
   'docs/operators/tables.md#When a VM does not answer': () => listVms(true),
   'docs/operators/keys.md': () => listVms(false),
   'docs/operators/limits.md': runStatements,
+  'docs/operators/evacuation.md': () =>
+    copyFile('test/explain/evacuated.txt', join(dir, 'nodes.log')),
   'docs/operators/report.md': () => listVms(true),
   'docs/operators/store-outages.md': async () => {
     await fleet.storeProcess.kill();
--- a/test/explain/timeline.test.ts
+++ b/test/explain/timeline.test.ts
@@ -33,6 +33,22 @@
   });
 });
 
+describe('the timeline of a request refused for an evacuation', () => {
+  it('includes the evacuation in force, whatever its age', () => {
+    const log = new URL('./evacuated.txt', import.meta.url);
+    const evacuatedLines = readFileSync(log, 'utf8')
+      .split('\n')
+      .flatMap(text => parseLogLine(text) ?? []);
+    const steps = explainRequest('r2', evacuatedLines);
+    const began = steps.filter(({line}) => line.event === 'evacuationBegan');
+    expect(began).toMatchObject([
+      {isOwn: false, line: {fields: {dataCentre: 'hobart', vm: 'node-2'}}},
+    ]);
+    expect(began[0]!.ageMs).toBeGreaterThan(5_000);
+    expect(formatTimeline(steps).at(-1)).toContain('hobart is evacuated');
+  });
+});
+
 describe('the timeline of a refused request', () => {
   const steps = explainRequest(REFUSED, lines);
   const events = steps.map(({line}) => line.event);
