--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -36,10 +36,16 @@
       cores: 0.5,
       graceMs: 6_000,
       drainMs: 10_000,
+      evacuateMs: 5_000,
       revokeMs: 5_000,
     });
   });
 
+  it('may state the bound of an evacuation', () => {
+    const text = `${SETTINGS}bounds.evacuate_ms=8000\n`;
+    expect(parseSettings(text, 'boot.conf').evacuateMs).toBe(8_000);
+  });
+
   it('is rejected with every invalid field named', () => {
     const invalid = SETTINGS.replace('ip=10.1.0.26\n', '')
       .replace('7560,7575', 'many')
@@ -91,6 +97,23 @@
     });
   });
 
+  it.each([
+    ['op/evacuate/hobart', '{}', {dataCentre: 'hobart', isActive: true}],
+    ['op/evacuate/hobart', undefined, {dataCentre: 'hobart', isActive: false}],
+  ])('yields an evacuation for %s with the value %s', (key, value, rest) => {
+    const at = {era: 0, revision: 1};
+    const kind = 'evacuation';
+    expect(decoder.decode({key, value, at})).toEqual({kind, ...rest});
+  });
+
+  it.each(['op/evacuate/', 'op/evacuated/hobart', 'op/other'])(
+    'yields nothing for %s',
+    key => {
+      const at = {era: 0, revision: 1};
+      expect(decoder.decode({key, value: '{}', at})).toBeUndefined();
+    },
+  );
+
   it('yields routes, keys and limits, and leaves out malformed routes', () => {
     const catalog = decodeConfig(
       JSON.stringify({
