--- a/src/groups/primary-deposition.ts
+++ b/src/groups/primary-deposition.ts
@@ -6,8 +6,9 @@
  * have stopped sending to it.
  */
 import type {Clock} from '../infra/clock.js';
-import {comparePositions, type Position} from '../session/position.js';
+import {comparePositions} from '../session/position.js';
 import type {Logger} from '../telemetry/log.js';
+import {awaitEvacuatedCatchUp} from './evacuated-catch-up.js';
 import type {HandoverPort} from './primary-handover.js';
 import type {PrimaryOrder} from './primary-order.js';
 import type {TrackedDatabase} from './tracked-database.js';
@@ -20,11 +21,6 @@
 const STEP_DOWN_RETRY_MS = 250;
 /** How long a replica may take to catch up in a planned change. */
 const CATCH_UP_TIMEOUT_MS = 1_500;
-/**
- * The same if the old primary is evacuated, and neither fails nor shuts down:
- * replicas fall behind by up to 2.4 s, 120 times the usual delay of 20 ms.
- */
-const EVACUATED_CATCH_UP_TIMEOUT_MS = 3_000;
 const CATCH_UP_POLL_MS = 20;
 
 /** Outcome of a deposition. */
@@ -109,18 +105,19 @@
     const {clock, databases, log, group} = this.#options;
     const old = databases().find(({id}) => id === oldId);
     const chosen = databases().find(({id}) => id === chosenId);
-    const isEvacuated = old?.isEvacuated ?? false;
-    const timeoutMs = isEvacuated
-      ? EVACUATED_CATCH_UP_TIMEOUT_MS
-      : CATCH_UP_TIMEOUT_MS;
-    const until = clock.now() + timeoutMs;
+    if (old?.isEvacuated && chosen !== undefined) {
+      const hasCaughtUp = await awaitEvacuatedCatchUp({clock, old, chosen});
+      if (hasCaughtUp) return;
+      const message = 'the replica still lags behind';
+      log.warn('catchUpNotConfirmed', {group, chosen: chosenId, message});
+      return;
+    }
+    const until = clock.now() + CATCH_UP_TIMEOUT_MS;
     try {
-      const wanted = await logEndOf(old);
+      const wanted = (await old?.queryStateOnOpenConnection())?.received;
       while (wanted !== undefined && clock.now() < until) {
-        const chosenPosition = await logEndOf(chosen).catch((err: unknown) => {
-          if (isEvacuated) return undefined;
-          throw err;
-        });
+        const chosenPosition = (await chosen?.queryStateOnOpenConnection())
+          ?.received;
         if (
           chosenPosition !== undefined &&
           comparePositions(chosenPosition, wanted) >= 0
@@ -156,14 +153,3 @@
     return 'timeout';
   }
 }
-
-/**
- * Returns the end of a database's log: the last one that its answers showed if
- * nothing may be sent to it any more.
- */
-async function logEndOf(
-  database: TrackedDatabase | undefined,
-): Promise<Position | undefined> {
-  if (database?.isClosed) return database.visiblePosition;
-  return (await database?.queryStateOnOpenConnection())?.received;
-}
