--- a/src/catalog/evacuations.ts
+++ b/src/catalog/evacuations.ts
@@ -5,6 +5,7 @@
  * all groups with a primary there need another one at the same time, while reads
  * move to the remaining replicas.
  */
+import * as z from 'zod';
 import {MAX_MISSED_MS} from '../groups/drain-notice.js';
 import type {Clock} from '../infra/clock.js';
 import {
@@ -32,6 +33,11 @@
 const MAX_TURN_MS = 150;
 const MAX_SPREAD_MS = 600;
 
+/** Peer method that returns the evacuations which a node keeps in force. */
+export const EVACUATIONS_METHOD = 'evacuations.inForce';
+/** Data centres, each with the store's era that last held the request. */
+const inForceSchema = z.array(z.tuple([z.string().min(1), z.int().min(0)]));
+
 /** What the databases of a data centre may be used for. */
 export type DataCentreUse =
   /** Any work. */
@@ -123,6 +129,26 @@
     });
   }
 
+  /** Returns the evacuations in force, for a node that starts. */
+  encode(): z.infer<typeof inForceSchema> {
+    this.#endLapsed();
+    return [...this.#notices].map(([dataCentre, {era}]) => [dataCentre, era]);
+  }
+
+  /**
+   * Learns from another node what a store restored to `storeEra` may have lost;
+   * its absence has to be confirmed here as well.
+   *
+   * @throws Error if the reply is malformed
+   */
+  learn(reply: unknown, storeEra: number): void {
+    for (const [dataCentre, era] of inForceSchema.parse(reply)) {
+      if (era >= storeEra || this.#notices.has(dataCentre)) continue;
+      this.apply(dataCentre, true, era);
+      this.apply(dataCentre, false, storeEra);
+    }
+  }
+
   useOf(dataCentre: string): DataCentreUse {
     const evacuation = this.find(dataCentre);
     if (evacuation === undefined) return 'open';
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -1,6 +1,7 @@
 /** Assembles a node that serves the statement protocol. */
 import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
+import {EVACUATIONS_METHOD} from '../catalog/evacuations.js';
 import type {Route} from '../catalog/types.js';
 import {MemberLease} from '../fleet/member-lease.js';
 import {peerAddressOf} from '../fleet/member-list.js';
@@ -255,6 +256,7 @@
         ...this.#homes.handlers,
         [PING_METHOD, async () => true],
         [RELAY_METHOD, async body => this.#cluster.relay.serve(body)],
+        [EVACUATIONS_METHOD, async () => this.#cluster.evacuations.encode()],
         [STORE_CALL_METHOD, body => store.serve(body)],
         ...this.#budgets.handlers,
         ...this.#handover.handlers,
@@ -407,6 +409,13 @@
           );
           const changes = decodeRelayReply(reply);
           if (changes !== undefined) this.#cluster.learn(changes);
+          const inForce = await this.#peers.call(
+            address,
+            EVACUATIONS_METHOD,
+            {},
+            options,
+          );
+          this.#cluster.evacuations.learn(inForce, this.#store.era);
         } catch (err) {
           // A node that has just started has nothing to tell either.
           log.info('peerNotAsked', {peer: peer.id, message: String(err)});
--- a/test/catalog/evacuations.test.ts
+++ b/test/catalog/evacuations.test.ts
@@ -84,6 +84,20 @@
     expect(evacuations.dataCentres).toEqual([]);
   });
 
+  it('is learnt from another node that still counts the time after a restore', async () => {
+    const known = createEvacuations().evacuations;
+    known.apply(ZONE, true, 0);
+    known.apply(ZONE, false, 1);
+    known.apply('hobart', true, 1);
+    const {clock, evacuations} = createEvacuations();
+    evacuations.learn(known.encode(), 1);
+    // The store has the other one, or it has been withdrawn.
+    expect(evacuations.dataCentres).toEqual([ZONE]);
+    await clock.advance(LAPSE_MS);
+    expect(evacuations.dataCentres).toEqual([]);
+    expect(() => evacuations.learn([[ZONE]], 1)).toThrow();
+  });
+
   it('stays evacuated if the operators write the key again after a restore', async () => {
     const {clock, evacuations} = createEvacuations();
     evacuations.apply(ZONE, true, 0);
