--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -1,6 +1,7 @@
 /** Assembles a node that serves the statement protocol. */
 import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
+import {EVACUATIONS_METHOD} from '../catalog/evacuations.js';
 import {MemberLease} from '../fleet/member-lease.js';
 import {NodeDelay} from '../fleet/node-delay.js';
 import {peerAddressOf} from '../fleet/member-list.js';
@@ -273,6 +274,7 @@
         ...(this.#loadSharing?.handlers ?? []),
         [PING_METHOD, async () => true],
         [RELAY_METHOD, async body => this.#cluster.relay.serve(body)],
+        [EVACUATIONS_METHOD, async () => this.#cluster.evacuations.encode()],
         [STORE_CALL_METHOD, body => store.serve(body)],
         ...this.#budgets.handlers,
         ...this.#handover.handlers,
@@ -430,6 +432,13 @@
           );
           const changes = decodeRelayReply(reply);
           if (changes !== undefined) this.#cluster.learn(changes);
+          const inForce = await this.#peers.call(
+            address,
+            EVACUATIONS_METHOD,
+            {},
+            options,
+          );
+          this.#cluster.evacuations.learn(inForce, this.#store.era);
         } catch (err) {
           // A node that has just started has nothing to tell either.
           log.info('peerNotAsked', {peer: peer.id, message: String(err)});
