--- a/src/home/connection-pool.ts
+++ b/src/home/connection-pool.ts
@@ -12,7 +12,7 @@
 import type {DatabaseSpec} from '../groups/types.js';
 import type {Clock} from '../infra/clock.js';
 import {startTimer} from '../infra/timer.js';
-import {RetrySpacing} from '../quota/retry-spacing.js';
+import {MAX_RETRY_DELAY_MS, RetrySpacing} from '../quota/retry-spacing.js';
 import {
   TargetError,
   type TargetConnection,
@@ -43,6 +43,8 @@
   readonly deadlineAt: number;
   /** Time until which an answer has its full value; the deadline if absent. */
   readonly latencyGoalAt?: number | undefined;
+  /** True if the caller tries elsewhere after a refusal, not later. */
+  readonly isTentative?: boolean | undefined;
   /** Kind of work by which its execution time is expected; any if absent. */
   readonly workKind?: string | undefined;
   /** True if it opens a transaction that will reserve its connection. */
@@ -243,7 +245,11 @@
       const offered = this.#queue.offer(waiter, order);
       if (offered.kind === 'refused') {
         const estimate = this.#queue.estimate(order);
-        return settle(this.#overloaded(req, offered.retryAfterMs, estimate));
+        const {retryAfterMs} = offered;
+        const earliestMs = Number.isFinite(retryAfterMs)
+          ? retryAfterMs
+          : MAX_RETRY_DELAY_MS;
+        return settle(this.#overloaded(req, earliestMs, estimate));
       }
       if (req.latencyGoalAt !== undefined) this.#startReviews();
       // The limit may have risen since the last slot became free.
@@ -394,14 +400,14 @@
     estimate: WaitEstimate,
   ): SlotResult<C> {
     const message = `the queue for ${this.#options.spec.id} is longer than the deadline allows`;
-    const retryAfterMs =
-      req.latencyGoalAt === undefined
-        ? earliestMs
-        : this.#spaceRetry(
-            `priority ${req.priority}`,
-            earliestMs,
-            slotsFor(estimate) / this.#orderOf(req).costMs,
-          );
+    const mustSpace = req.latencyGoalAt !== undefined && !req.isTentative;
+    const retryAfterMs = mustSpace
+      ? this.#spaceRetry(
+          `priority ${req.priority}`,
+          earliestMs,
+          slotsFor(estimate) / this.#orderOf(req).costMs,
+        )
+      : earliestMs;
     return {
       kind: 'refused',
       verdict: notRun('overloaded', message, Math.ceil(retryAfterMs)),
--- a/src/home/statement-attempt.ts
+++ b/src/home/statement-attempt.ts
@@ -81,6 +81,7 @@
     priority: req.priority,
     deadlineAt: Math.min(queueUntil, deadlineAt),
     latencyGoalAt: attempt.latencyGoalAt,
+    isTentative: queueUntil < deadlineAt,
     workKind: workKindOf(req),
     opensTransaction: req.opens !== undefined && !req.commits,
     cancelled: signal,
--- a/src/quota/retry-spacing.ts
+++ b/src/quota/retry-spacing.ts
@@ -11,7 +11,7 @@
 /** Part of the rate that is planned for retries; new callers need the rest. */
 const RETRY_RATE_RATIO = 0.5;
 /** Maximum retry delay: callers have time limits of their own. */
-const MAX_RETRY_DELAY_MS = 1_500;
+export const MAX_RETRY_DELAY_MS = 1_500;
 
 /**
  * Computes the retry delays of one team's refused callers.
--- a/test/statements/certified-reads.test.ts
+++ b/test/statements/certified-reads.test.ts
@@ -183,6 +183,27 @@
     expect(certificates.newestAt).toBe(clock.now() - 100 - 900);
   });
 
+  it('are answered late rather than refused while room is expected', async () => {
+    const {reads, attempt, open} = createHome();
+    const estimates: number[] = [];
+    const hurried = {
+      ...attempt,
+      latencyGoalAt: 1,
+      onRefused: ({waitMs}: {waitMs: number}) => void estimates.push(waitMs),
+    };
+    const results = [attempt, attempt, attempt, hurried].map(each =>
+      reads.run(each),
+    );
+    const hopeless = await reads.run({...hurried, deadlineAt: 1});
+    expect(hopeless.verdict).toMatchObject({reason: 'overloaded'});
+    // Refused for its latency goal, tried again as late, and refused for that.
+    expect(estimates).toHaveLength(3);
+    open();
+    for (const result of await Promise.all(results)) {
+      expect(result.verdict.kind).toBe('done');
+    }
+  });
+
   it('run in a transaction of their own at the primary', async () => {
     const {reads, attempt, open, sent} = createHome();
     const result = reads.run(attempt);
