--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -46,11 +46,15 @@
 const REMOTE_PENALTY_MS = 4;
 const CERTIFICATE_TIMEOUT_MS = 300;
 const NO_DATABASE_RETRY_MS = 200;
+/** Pause before databases that had no free slot are tried again. */
+const BUSY_PAUSE_MS = 20;
 
 /** Outcome of one try; without a result another database may be tried. */
 interface TryOutcome {
   readonly result: StatementResult | undefined;
   readonly verdict: Verdict | undefined;
+  /** True if the database had no free slot. */
+  readonly isBusy?: boolean;
 }
 
 /** Runs the certified reads of one group. */
@@ -190,6 +194,8 @@
     const avoid = new Set<string>();
     /** Databases whose queues are too long to meet the latency goal. */
     const full = new Set<string>();
+    /** Databases that had no free slot, although one was granted here. */
+    const busy = new Set<string>();
     let mayBeLate = attempt.latencyGoalAt <= clock.now();
     let last: Verdict | undefined;
     for (let tries = 0; tries < MAX_TRIES;) {
@@ -202,6 +208,13 @@
       const member = id === undefined ? undefined : members.get(id);
       if (member === undefined) {
         // The home knows the queues of all databases; a reader passes on to it.
+        const isBusy = busy.size > 0 && clock.now() < attempt.latencyGoalAt;
+        if (isBusy && !attempt.req.nearOnly) {
+          await clock.sleep(BUSY_PAUSE_MS);
+          for (const busyId of busy) avoid.delete(busyId);
+          busy.clear();
+          continue;
+        }
         const mayRelax = !mayBeLate && full.size > 0 && !attempt.req.nearOnly;
         if (!mayRelax) {
           last ??= fullReplica && fullVerdict(fullReplica);
@@ -223,10 +236,11 @@
         if (acquired.estimate !== undefined) full.add(member.id);
         continue;
       }
-      tries += 1;
-      const {result, verdict} = await runAt(member, acquired.slot, required);
-      if (result !== undefined) return result;
-      last = verdict ?? last;
+      const outcome = await runAt(member, acquired.slot, required);
+      if (outcome.result !== undefined) return outcome.result;
+      last = outcome.verdict ?? last;
+      if (outcome.isBusy) busy.add(member.id);
+      else tries += 1;
     }
     return failedStatement(last ?? this.#noDatabaseVerdict(attempt));
   }
@@ -257,6 +271,7 @@
     if (claim === undefined)
       return this.#toOutcome(member, outcome[0], required);
     const [begun, reply] = outcome;
+    if (isBusyReply(begun)) return this.#toOutcome(member, begun, required);
     if (begun?.kind !== 'done' || !claim.isValid) {
       return {result: undefined, verdict: this.#notPrimary(member)};
     }
@@ -297,7 +312,7 @@
     const [reply] = ran;
     if (!began || reply?.kind !== 'done') {
       transactions.rollBack(slot);
-      if (claim !== undefined && !began) {
+      if (claim !== undefined && !began && !isBusyReply(reply)) {
         return {result: undefined, verdict: this.#notPrimary(member)};
       }
       return this.#toOutcome(member, reply, required);
@@ -385,6 +400,7 @@
     return {
       result: undefined,
       verdict: notRun('overloaded', message, NO_DATABASE_RETRY_MS),
+      isBusy: code === 'busy',
     };
   }
 
@@ -538,6 +554,10 @@
   return required !== undefined && req.consistency !== 'primary';
 }
 
+function isBusyReply(reply: DatabaseReply | undefined): boolean {
+  return reply?.kind === 'error' && reply.code === 'busy';
+}
+
 /** Returns the refusal after which the caller may retry sooner. */
 function soonerRetry(a: Verdict | undefined, b: Verdict): Verdict {
   if (a?.kind !== 'notRun' || b.kind !== 'notRun') return b;
