--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -13,6 +13,7 @@
   ['fleet', 'the four measures on a whole fleet'],
   ['slopes', 'how control traffic, CPU and memory grow with the fleet'],
   ['admission', 'wrongful refusals and the worst-served team'],
+  ['pace', 'how databases that start, recover or fail are paced'],
 ]);
 
 /**
--- a/src/admission/concurrency-limit.ts
+++ b/src/admission/concurrency-limit.ts
@@ -1,4 +1,5 @@
 /** Limits how many statements run on a database concurrently. */
+import type {Pace} from '../pace/pace.js';
 
 /**
  * Statements sent to a database beyond its slots. They queue there, so that a
@@ -6,17 +7,29 @@
  */
 const QUEUED_AT_DATABASE = 1;
 
-/** Options of a concurrency limit; both values may change while in use. */
+/**
+ * The number of statements that a database gets at once in normal operation.
+ *
+ * @example
+ * normalLimit(4); // 5
+ */
+export function normalLimit(slots: number): number {
+  return slots + QUEUED_AT_DATABASE;
+}
+
+/** Options of a concurrency limit; the values may change while in use. */
 export interface ConcurrencyLimitOptions {
   /** Returns how many statements the database executes concurrently. */
   readonly slots: () => number;
   /** Returns how many connections to the database this node may use. */
   readonly connections: () => number;
+  /** The pace of a database that starts or recovers; none by default. */
+  readonly pace?: Pick<Pace, 'limit'> | undefined;
 }
 
 /**
  * The concurrency limit of a database: its slots plus one, but no more than the
- * connections.
+ * connections or its pace.
  *
  * Further statements wait in the proxy's queue instead of at the database, where
  * an urgent one could not overtake them.
@@ -34,7 +47,8 @@
 
   /** How many statements may run concurrently. */
   get value(): number {
-    const wanted = this.#options.slots() + QUEUED_AT_DATABASE;
-    return Math.max(0, Math.min(wanted, this.#options.connections()));
+    const {slots, connections, pace} = this.#options;
+    const wanted = pace?.limit(slots()) ?? normalLimit(slots());
+    return Math.max(0, Math.min(wanted, connections()));
   }
 }
--- a/src/catalog/types.ts
+++ b/src/catalog/types.ts
@@ -42,6 +42,11 @@
   readonly name: string;
   /** Connections that each of its databases accepts from all nodes together. */
   readonly maxConnections: number;
+  /**
+   * Requests per second that a cold database gets from all nodes together; 0 or
+   * undefined for no limit.
+   */
+  readonly coldRate?: number | undefined;
 }
 
 /** One version of the operators' configuration. */
@@ -73,6 +78,8 @@
   readonly sequence: number;
   /** Start of its process by its own wall clock, in Unix milliseconds. */
   readonly startedAt: number | undefined;
+  /** How much longer it remains cold after its start; undefined or 0 if it is not. */
+  readonly coldRemainingMs?: number | undefined;
 }
 
 /** A catalog without routes, teams or keys. */
--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -23,6 +23,9 @@
 import {sleepToTick} from '../infra/timer.js';
 import type {BudgetHolder} from '../quota/budget-holder.js';
 import type {QuotaDecision} from '../quota/types.js';
+import type {ColdLimit} from '../pace/cold-limit.js';
+import {createDatabasePace, type PaceMetrics} from '../pace/database-pace.js';
+import type {Pace} from '../pace/pace.js';
 import {PositionCertificates} from '../routing/certificates.js';
 import type {StatementConnector} from '../statements/connection.js';
 import type {Logger} from '../telemetry/log.js';
@@ -107,6 +110,10 @@
   readonly drainMs: number;
   /** Returns whether announcements may have expired in a store outage. */
   readonly mayHaveLapsed: () => boolean;
+  /** Paces databases that start or recover, and records it; off by default. */
+  readonly pacing?: PaceMetrics | undefined;
+  /** Bounds the requests to cold databases; unlimited by default. */
+  readonly cold?: ColdLimit | undefined;
 }
 
 /**
@@ -134,7 +141,11 @@
   readonly #right: GroupRight;
   readonly #stopping = new AbortController();
   #running = 0;
+  /** The last database that was known to lead. */
+  #lastLeaderId: string | undefined;
   #lastUsedAt: number;
+  /** Whether the databases that were known as the home opened are applied. */
+  #isStarted = false;
 
   constructor(options: CertifiedHomeOptions) {
     const {clock, log, group, catalog} = options;
@@ -198,6 +209,7 @@
 
   start(): void {
     const {signal} = this.#stopping;
+    this.#isStarted = true;
     this.#transactions.start();
     void this.#keeper.run(signal);
     void this.#refreshCertificates(signal);
@@ -236,7 +248,9 @@
       known.entry = entry;
     } else {
       if (known !== undefined) this.#drop(entry.id, known, 'restarted');
-      this.#members.set(entry.id, this.#createMember(entry));
+      const member = this.#createMember(entry);
+      this.#members.set(entry.id, member);
+      member.beginPace(this.#isStarted ? 'started' : 'takenOver');
     }
     const now = this.#options.clock.now();
     this.#leadership.recordAnnouncement(entry.id, entry.role, now);
@@ -272,6 +286,7 @@
 
   #logLeader(leader: LeaderBasis | undefined): void {
     const {clock, log, group} = this.#options;
+    this.#paceNewLeader(leader?.id);
     const isProven = leader !== undefined && leader.provenAt > -Infinity;
     log.info('leaderChanged', {
       group,
@@ -285,6 +300,14 @@
     });
   }
 
+  /** Paces a database that takes the primary's work over from another one. */
+  #paceNewLeader(id: string | undefined): void {
+    if (id === undefined || id === this.#lastLeaderId) return;
+    if (this.#lastLeaderId !== undefined)
+      this.#members.get(id)?.beginPace('promoted');
+    this.#lastLeaderId = id;
+  }
+
   /** Logs a failed statement with the state of the home. */
   #logFailure(
     req: StatementRequest,
@@ -397,9 +420,16 @@
       connectionLimit: () => this.#connectionLimit(entry.id),
       weightOf: team => catalog().teams.get(team)?.rate ?? DEFAULT_WEIGHT,
       anyTeam: () => catalog().teams.keys().next().value,
+      pace: this.#createPace(entry.id),
+      cold: this.#options.cold,
     });
   }
 
+  #createPace(database: string): Pace | undefined {
+    const {log, group, pacing: metrics} = this.#options;
+    return metrics && createDatabasePace({log, metrics, group, database});
+  }
+
   #connectionLimit(id: string): number {
     const {catalog, group} = this.#options;
     const all = catalog().groups.get(group)?.maxConnections ?? 0;
@@ -424,6 +454,7 @@
       reason,
     });
     member.pool.close();
+    this.#options.pacing?.recordPaceLimit(this.#options.group, id, undefined);
     this.#members.delete(id);
     this.#missingSince.delete(id);
     this.#leadership.forget(id);
--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -85,7 +85,7 @@
     const member = this.#ctx.members.get(id ?? '');
     const isBusy =
       member !== undefined &&
-      member.pool.outstanding >= member.entry.slots * MAX_STATEMENTS_PER_SLOT;
+      member.pool.outstanding >= member.pacedSlots * MAX_STATEMENTS_PER_SLOT;
     if (member !== undefined && !isBusy) return undefined;
     const {group, dataCentre} = this.#ctx;
     const lacking = isBusy ? 'has a free slot soon' : 'is fresh and answers';
@@ -107,6 +107,9 @@
     });
     if (acquired.kind === 'refused') return;
     const {slot} = acquired;
+    const admitting = member.admitCold(1);
+    if (admitting !== undefined && (await admitting).kind === 'refused')
+      return slot.release();
     const claim = claimPrimary(this.#ctx, member);
     const sentAt = clock.now();
     const end = member.trackWork(slot.connection);
@@ -118,7 +121,7 @@
       if (begun !== undefined)
         recordBegin(this.#ctx, member, begun, sentAt, claim);
     } catch (err) {
-      member.health.recordFailure();
+      member.recordFailure();
       this.#ctx.log.info('certificateNotFetched', {
         group: this.#ctx.group,
         database: member.id,
@@ -297,7 +300,7 @@
       }
       return [...replies];
     } catch (err) {
-      member.health.recordFailure();
+      member.recordFailure();
       this.#ctx.log.info('readTryLost', {
         request: statement.requestId,
         database: member.id,
@@ -369,7 +372,7 @@
         isPrimary: member.id === leadership.leaderId && right.isHeld,
         isReachable: member.health.isReachable,
         outstanding: member.pool.outstanding,
-        slots: member.entry.slots,
+        slots: member.pacedSlots,
         costMs: member.pool.costMs,
         connectMs: member.connectMs(req.team),
         roundTripMs:
--- a/src/home/connection-pool.ts
+++ b/src/home/connection-pool.ts
@@ -7,6 +7,7 @@
 import type {DatabaseSpec} from '../groups/types.js';
 import type {Clock} from '../infra/clock.js';
 import {startTimer} from '../infra/timer.js';
+import type {Pace} from '../pace/pace.js';
 import {
   TargetError,
   type TargetConnection,
@@ -79,6 +80,8 @@
   readonly weightOf: (team: string) => number;
   /** Returns whether the database has answered recently. */
   readonly isReachable: () => boolean;
+  /** The pace of a database that starts or recovers; none by default. */
+  readonly pace?: Pick<Pace, 'limit'> | undefined;
 }
 
 const CANCELLED_RESULT = {kind: 'refused', verdict: CANCELLED} as const;
@@ -114,6 +117,7 @@
     this.#concurrency = new ConcurrencyLimit({
       slots: () => options.spec.slots,
       connections: () => options.connectionLimit() - this.#pinned,
+      pace: options.pace,
     });
     this.#queue = new FairQueue<Waiter<C, Req>>({
       clock: options.clock,
@@ -161,6 +165,11 @@
     return this.#enqueue(req);
   }
 
+  /** Starts queued requests after the pace has risen. */
+  resume(): void {
+    this.#dispatch();
+  }
+
   /** Refuses the queued requests and all later ones; closes idle connections. */
   close(): void {
     this.#closed = true;
--- a/src/home/group-member.ts
+++ b/src/home/group-member.ts
@@ -3,6 +3,9 @@
 import {PassiveHealth} from '../membership/passive-health.js';
 import type {Clock} from '../infra/clock.js';
 import {startTimer} from '../infra/timer.js';
+import type {ColdLimit} from '../pace/cold-limit.js';
+import type {Pace, PaceFailure} from '../pace/pace.js';
+import type {QuotaDecision} from '../quota/types.js';
 import {laterPosition, type Position} from '../session/position.js';
 import type {StatementConnector} from '../statements/connection.js';
 import type {DatabaseReply, DatabaseState} from '../statements/types.js';
@@ -19,6 +22,8 @@
 const INITIAL_CONNECT_MS = 15;
 /** Weight of the newest sample in the average time to open a connection. */
 const CONNECT_SMOOTHING = 0.2;
+/** Weight of the newest sample in the average time of an answer. */
+const EXPECTED_SMOOTHING = 0.1;
 /** Timeout of a state query. */
 const STATE_TIMEOUT_MS = 300;
 
@@ -31,6 +36,10 @@
   readonly weightOf: (team: string) => number;
   /** Returns a team as which the home connects for its own queries. */
   readonly anyTeam: () => string | undefined;
+  /** The pace of its work; none if the database is never paced. */
+  readonly pace?: Pace | undefined;
+  /** The limit on its requests while it is cold; none by default. */
+  readonly cold?: ColdLimit | undefined;
 }
 
 type StateConnection = Pick<
@@ -55,6 +64,13 @@
     {readonly at: number; readonly position: Position} | undefined;
   #refusesUntil = -Infinity;
   #connectMs = INITIAL_CONNECT_MS;
+  /** Failures that the pace was told of. */
+  #paceFailures = 0;
+  /** Average time of an answer; the first one counts in full. */
+  #expectedMs: number | undefined;
+  #hasFailedToConnect = false;
+  /** When it accepted a connection again, maybe as a new process. */
+  #returnedAt = -Infinity;
 
   constructor(entry: AnnouncedDatabase, options: GroupMemberOptions) {
     const {clock, weightOf} = options;
@@ -73,6 +89,7 @@
       connectionLimit: () => this.#connectionLimit(),
       weightOf,
       isReachable: () => this.health.isReachable,
+      pace: options.pace,
     });
   }
 
@@ -99,16 +116,65 @@
     return this.connections.hasIdle(team) ? 0 : this.#connectMs;
   }
 
+  /** Statements that it executes concurrently, as far as its pace allows. */
+  get pacedSlots(): number {
+    const {slots} = this.entry;
+    return Math.min(slots, this.#options.pace?.limit(slots) ?? slots);
+  }
+
   /** Registers work sent to the database; call the result once it has ended. */
   trackWork(connection: TeamConnection): () => void {
     const end = this.health.trackRequest();
+    const startedAt = this.#options.clock.now();
+    const failuresBefore = this.#paceFailures;
     this.#running.add(connection);
     return () => {
       end();
       this.#running.delete(connection);
+      // What was sent before a failure says nothing about the lower level.
+      if (this.#paceFailures !== failuresBefore) return;
+      this.#recordPacedAnswer(this.#options.clock.now() - startedAt);
     };
   }
 
+  /** Begins to pace a database that is new here or was promoted. */
+  beginPace(reason: 'started' | 'takenOver' | 'promoted'): void {
+    const {pace} = this.#options;
+    // The normal limit, from which some paces begin, depends on the slots.
+    pace?.limit(this.entry.slots);
+    pace?.recordReturn(reason);
+  }
+
+  /** Records a refused or lost connection or a request without an answer. */
+  recordFailure(): void {
+    const {health} = this;
+    health.recordFailure();
+    this.#paceFailures += 1;
+    if (health.isReachable) this.#options.pace?.recordFailure('lost');
+    else this.#options.pace?.recordReturn('recovered');
+  }
+
+  /** Whether its requests are limited because it is cold. */
+  get isCold(): boolean {
+    return this.#options.cold?.isCold(this.id, this.#returnedAt) ?? false;
+  }
+
+  /** Milliseconds for which its limit as a cold database admits nothing. */
+  get coldRefusedForMs(): number {
+    const {cold} = this.#options;
+    return this.isCold && cold ? cold.refusedForMs(this.id) : 0;
+  }
+
+  /**
+   * Admits requests under the limit of a cold database; undefined if it is not
+   * cold.
+   */
+  admitCold(requests: number): Promise<QuotaDecision> | undefined {
+    return this.isCold
+      ? this.#options.cold?.admit(this.id, requests)
+      : undefined;
+  }
+
   /** Closes all connections, which aborts running work. */
   closeConnections(): void {
     for (const connection of [...this.#running]) connection.close();
@@ -116,8 +182,11 @@
   }
 
   /** Records that the database answered, and the position in its reply. */
-  recordReply({position}: DatabaseReply): void {
+  recordReply(reply: DatabaseReply): void {
+    const {position} = reply;
+    if (!this.health.isReachable) this.#options.pace?.recordReturn('recovered');
     this.health.recordAnswer();
+    this.recordPacedReply(reply);
     if (position === undefined) return;
     this.#visiblePosition = laterPosition(
       this.#visiblePosition ?? position,
@@ -125,6 +194,14 @@
     );
   }
 
+  /** Tells the pace of a reply by which the database refused or failed work. */
+  recordPacedReply(reply: DatabaseReply): void {
+    const failure = paceFailureOf(reply);
+    if (failure === undefined) return;
+    this.#paceFailures += 1;
+    this.#options.pace?.recordFailure(failure);
+  }
+
   /** Records that the database has not applied a position yet. */
   recordLagRefusal(position: Position): void {
     this.#lastLagRefusal = {at: this.#options.clock.now(), position};
@@ -204,6 +281,16 @@
     }
   }
 
+  #recordPacedAnswer(tookMs: number): void {
+    const {pace} = this.#options;
+    if (pace === undefined) return;
+    const expectedMs = this.#expectedMs ?? tookMs;
+    this.#expectedMs = expectedMs + EXPECTED_SMOOTHING * (tookMs - expectedMs);
+    const before = pace.limit(this.entry.slots);
+    pace.recordAnswer(tookMs, expectedMs);
+    if (pace.limit(this.entry.slots) > before) this.pool.resume();
+  }
+
   /** Limits itself to the open connections while the database refuses more. */
   #connectionLimit(): number {
     const share = this.#options.connectionLimit();
@@ -223,13 +310,29 @@
       );
       const tookMs = clock.now() - startedAt;
       this.#connectMs += CONNECT_SMOOTHING * (tookMs - this.#connectMs);
+      if (this.#hasFailedToConnect) this.#returnedAt = clock.now();
+      this.#hasFailedToConnect = false;
       return new TeamConnection(clock, team, opened);
     } catch (err) {
       const isFull =
         err instanceof TargetError && err.code === 'tooManyConnections';
-      if (isFull) this.#refusesUntil = clock.now() + REFUSED_PAUSE_MS;
-      else this.health.recordFailure();
+      if (isFull) {
+        this.#refusesUntil = clock.now() + REFUSED_PAUSE_MS;
+        this.#options.pace?.recordFailure('busy');
+      } else {
+        this.#hasFailedToConnect = true;
+        this.recordFailure();
+      }
       throw err;
     }
   }
 }
+
+/** What a reply tells a pace of the database's state; undefined if nothing. */
+function paceFailureOf(reply: DatabaseReply): PaceFailure | undefined {
+  if (reply.kind === 'done') return undefined;
+  if (reply.code === 'busy') return 'busy';
+  return reply.code === 'failed' || reply.code === 'timeout'
+    ? 'failed'
+    : undefined;
+}
--- a/src/home/primary-writes.ts
+++ b/src/home/primary-writes.ts
@@ -89,7 +89,7 @@
       return await this.#write(attempt, member, slot, claim);
     } catch (err) {
       slot.release();
-      member.health.recordFailure();
+      member.recordFailure();
       const verdict = connectionVerdict(err, member.id);
       if (verdict.kind === 'notRun') return {result: undefined, verdict};
       return {result: failedStatement(verdict)};
@@ -150,6 +150,7 @@
       timeoutMs,
     );
     if (begun?.kind !== 'done') {
+      if (begun !== undefined) member.recordPacedReply(begun);
       transactions.rollBack(slot);
       return this.#notRun(member, begun);
     }
@@ -162,7 +163,7 @@
       const verdict = connectionVerdict(err, member.id);
       if (attempt.req.commits) throw err;
       slot.release();
-      member.health.recordFailure();
+      member.recordFailure();
       return {result: failedStatement(rolledBackVerdict(verdict), 'failed')};
     }
     return this.#finishOpening(attempt, member, slot, reply, claim);
--- a/src/home/statement-attempt.ts
+++ b/src/home/statement-attempt.ts
@@ -60,6 +60,8 @@
 ): Promise<SlotResult<TeamConnection>> {
   const {req, signal, deadlineAt} = attempt;
   if (!acceptsWork(ctx, member.id)) return drainingRefusal(ctx, member);
+  const coldMs = member.coldRefusedForMs;
+  if (coldMs > 0) return coldRefusal(member, coldMs);
   const result = await member.pool.acquire({
     team: req.team,
     priority: req.priority,
@@ -68,6 +70,12 @@
     values: req.values,
   });
   if (result.kind === 'refused') return result;
+  const admitting = member.admitCold(requestsOf(ctx, req, member));
+  const admitted = admitting && (await admitting);
+  if (admitted?.kind === 'refused') {
+    result.slot.release();
+    return coldRefusal(member, admitted.retryAfterMs);
+  }
   // The drain may have ended while the statement was queued.
   if (!acceptsWork(ctx, member.id)) {
     result.slot.release();
@@ -77,6 +85,29 @@
   return result;
 }
 
+/**
+ * The requests that a statement makes to a database. The end of a transaction
+ * and the set-up of a session are not counted.
+ */
+function requestsOf(
+  {leadership}: HomeContext,
+  {kind, opens}: StatementRequest,
+  {id}: GroupMember,
+): number {
+  const begins = kind === 'read' && leadership.leaderId === id;
+  return begins || opens !== undefined ? 2 : 1;
+}
+
+/** Creates the refusal of a statement by the limit of a cold database. */
+export function coldRefusal(
+  {id}: GroupMember,
+  retryAfterMs: number,
+): {readonly kind: 'refused'; readonly verdict: NotRun} {
+  const message = `database ${id} is cold and gets no more requests now`;
+  const verdict = notRun('overloaded', message, Math.ceil(retryAfterMs));
+  return {kind: 'refused', verdict};
+}
+
 function drainingRefusal(
   {primaryRetryMs}: HomeContext,
   {id}: GroupMember,
--- a/src/home/transaction-statements.ts
+++ b/src/home/transaction-statements.ts
@@ -8,6 +8,7 @@
 import type {PinnedTransaction} from './open-transactions.js';
 import {
   answered,
+  coldRefusal,
   connectionVerdict,
   rolledBackVerdict,
   runStatement,
@@ -58,6 +59,14 @@
       return failedStatement(verdict, 'failed');
     }
     const {member, slot, claim} = open;
+    const refusal = member.isCold
+      ? await this.#awaitColdLimit(member, deadlineAt)
+      : undefined;
+    if (refusal !== undefined) {
+      leave();
+      transactions.rollBack(slot);
+      return failedStatement(rolledBackVerdict(refusal), 'failed');
+    }
     if (claim?.isValid === false) {
       leave();
       transactions.rollBack(slot);
@@ -71,7 +80,7 @@
     } catch (err) {
       slot.connection.close();
       slot.release();
-      member.health.recordFailure();
+      member.recordFailure();
       const verdict = connectionVerdict(err, member.id);
       if (req.commits && verdict.kind === 'mayHaveRun') {
         return failedStatement(verdict);
@@ -84,6 +93,25 @@
     }
   }
 
+  /**
+   * Waits until a cold database may get one more request; refuses if it may not
+   * before the deadline.
+   */
+  async #awaitColdLimit(
+    member: GroupMember,
+    deadlineAt: number,
+  ): Promise<NotRun | undefined> {
+    const {clock} = this.#ctx;
+    for (;;) {
+      const admitted = await member.admitCold(1);
+      if (admitted?.kind !== 'refused') return undefined;
+      const {retryAfterMs} = admitted;
+      if (clock.now() + retryAfterMs >= deadlineAt)
+        return coldRefusal(member, retryAfterMs).verdict;
+      await clock.sleep(retryAfterMs);
+    }
+  }
+
   async #runOn(
     req: StatementRequest,
     member: GroupMember,
--- a/src/node/cluster-state.ts
+++ b/src/node/cluster-state.ts
@@ -28,6 +28,7 @@
 import type {Clock} from '../infra/clock.js';
 import type {ChangeSet, LeasedStore} from '../infra/leased-store.js';
 import type {StorePosition} from '../infra/store-position.js';
+import {ColdTimes} from '../pace/cold-times.js';
 import type {Logger} from '../telemetry/log.js';
 
 /** Leases may have lapsed if a poll of the store failed within this interval. */
@@ -97,6 +98,7 @@
   readonly relay: FeedRelay;
   readonly #options: ClusterStateOptions;
   readonly #databases = new Map<string, AnnouncedDatabase>();
+  readonly #coldTimes: ColdTimes;
   /** The last announcement of each database, also of those that are gone. */
   readonly #lastAnnouncements = new LRUCache<string, LastAnnouncement>({
     max: MAX_REMEMBERED_DATABASES,
@@ -112,6 +114,7 @@
   constructor(options: ClusterStateOptions) {
     const {clock, log, store} = options;
     this.#options = options;
+    this.#coldTimes = new ColdTimes(clock);
     this.members = new MemberList({
       clock,
       mayHaveLapsed: () => this.mayHaveLapsed,
@@ -135,6 +138,15 @@
     return this.#databases.values();
   }
 
+  /** Returns a database's announcement, if it is announced. */
+  readonly findDatabase = (id: string): AnnouncedDatabase | undefined =>
+    this.#databases.get(id);
+
+  /** Milliseconds for which a database remains cold; 0 if it is not. */
+  coldRemainingMs(id: string): number {
+    return this.#coldTimes.remainingMs(id);
+  }
+
   /** Returns when this node learnt that a database drains, if it does. */
   drainNoticeOf(id: string): DrainNotice | undefined {
     return this.#drainNotices.get(id);
@@ -258,15 +270,17 @@
     const known = this.#databases.get(id);
     if (entry === undefined && known === undefined) return 'unchanged';
     // Databases renew their announcements every second, mostly unchanged.
-    if (entry !== undefined && known !== undefined && isSame(known, entry)) {
-      return 'unchanged';
-    }
+    const isColdNews = this.#coldTimes.apply(id, entry);
+    const isRepeated =
+      entry !== undefined && known !== undefined && isSame(known, entry);
+    if (isRepeated && !isColdNews) return 'unchanged';
     this.#options.log.info('databaseAnnounced', {
       id,
       group: entry?.group,
       role: entry?.role,
       state:
         entry === undefined ? 'gone' : entry.isDraining ? 'draining' : 'ready',
+      coldRemainingMs: entry?.coldRemainingMs,
       copyAgeMs: Math.round(this.feed.ageMs()),
     });
     if (entry === undefined) this.#databases.delete(id);
@@ -328,7 +342,11 @@
   }
 }
 
-/** Whether two announcements differ in nothing but their sequence. */
+/**
+ * Whether two announcements differ in nothing but their sequence and the time
+ * for which the database remains cold.
+ */
 function isSame(a: AnnouncedDatabase, b: AnnouncedDatabase): boolean {
-  return isDeepStrictEqual({...a, sequence: 0}, {...b, sequence: 0});
+  const ignored = {sequence: 0, coldRemainingMs: 0};
+  return isDeepStrictEqual({...a, ...ignored}, {...b, ...ignored});
 }
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -47,6 +47,7 @@
 import {NodeMetrics, type NodeGauges} from '../telemetry/node-metrics.js';
 import type {NotRun} from '../verdict/verdict.js';
 import {NodeBudgets} from './node-budgets.js';
+import {ColdBudgets} from './cold-budgets.js';
 import {ClusterState, type ClusterStateChange} from './cluster-state.js';
 import {WorkPlacement} from './work-placement.js';
 
@@ -95,6 +96,12 @@
   readonly minLeaseMs: number;
   /** Time from a database's announcement of its shutdown until it may stop. */
   readonly drainMs: number;
+  /** Whether databases that start, recover or fail requests are paced. */
+  readonly pacing: boolean;
+  /** Multiple of its rate that a cold database may get in any second. */
+  readonly coldOverage: number;
+  /** Requests by which a second may exceed that. */
+  readonly coldSlack: number;
   /** Time between the request to shut down and the kill of the process. */
   readonly graceMs: number;
   readonly log: Logger;
@@ -142,6 +149,7 @@
   readonly #placement: WorkPlacement;
   readonly #lease: MemberLease;
   readonly #budgets: NodeBudgets;
+  readonly #coldBudgets: ColdBudgets;
   readonly #rights: PrimaryRights;
   readonly #handover: PrimaryHandover;
   readonly #homes: StatementHomes;
@@ -224,6 +232,17 @@
       slack: options.rateSlack,
       signal: this.#stopping.signal,
     });
+    this.#coldBudgets = new ColdBudgets({
+      clock,
+      log,
+      self: id,
+      clusterState: this.#cluster,
+      copyAgeMs: () => this.#cluster.feed.ageMs(),
+      placement: this.#placement,
+      lease: this.#lease,
+      peers: this.#peers,
+      tolerance: {overage: options.coldOverage, slack: options.coldSlack},
+    });
     this.#rights = new PrimaryRights({
       store,
       clock,
@@ -253,6 +272,7 @@
         [RELAY_METHOD, async body => this.#cluster.relay.serve(body)],
         [STORE_CALL_METHOD, body => store.serve(body)],
         ...this.#budgets.handlers,
+        ...this.#coldBudgets.handlers,
         ...this.#handover.handlers,
       ]),
     });
@@ -289,6 +309,7 @@
     void this.#cluster.feed.run(signal);
     void this.#lease.run(signal);
     void this.#rights.run(signal);
+    void this.#coldBudgets.run(signal);
     void runAtTicks(this.#clock, ERA_CHECK_PERIOD_MS, signal, () =>
       this.#handover.noteEra(),
     );
@@ -449,6 +470,8 @@
       drainNoticeOf: database => this.#cluster.drainNoticeOf(database),
       drainMs: this.#options.drainMs,
       mayHaveLapsed: () => this.#cluster.mayHaveLapsed,
+      pacing: this.#options.pacing ? this.metrics : undefined,
+      cold: this.#coldBudgets,
     });
   }
 
--- a/src/quota/budget-holder.ts
+++ b/src/quota/budget-holder.ts
@@ -48,6 +48,10 @@
   readonly limits: (team: string) => RateLimits | undefined;
   /** Requests tokens from the budget's owner; rejects if it can't be reached. */
   readonly requestTokens: (req: TokenRequest) => Promise<TokenReply>;
+  /** Older tokens are not spent; `GRANT_VALID_MS` by default. */
+  readonly grantValidMs?: number;
+  /** Tokens are asked for ahead for this time; `PREFETCH_MS` by default. */
+  readonly prefetchMs?: number;
 }
 
 /** The state of one team's budget at this holder. */
@@ -78,31 +82,32 @@
   }
 
   /**
-   * Decides on one operation; waits for at most `MAX_REQUESTS` owner replies.
+   * Decides on one operation, which costs `count` tokens; waits for at most
+   * `MAX_REQUESTS` owner replies.
    *
    * @example
    * const decision = await holder.admit('red');
    * if (decision.kind === 'refused') refuse(decision.retryAfterMs);
    */
-  async admit(team: string): Promise<QuotaDecision> {
+  async admit(team: string, count = 1): Promise<QuotaDecision> {
     const limits = this.#options.limits(team);
     if (limits === undefined)
       return refused('unavailable', UNAVAILABLE_RETRY_MS);
     const held = this.#stateOf(team);
     const now = this.#options.clock.now();
-    held.meter.record();
-    if (this.#trySpend(held, limits)) {
+    for (let n = 0; n < count; n++) held.meter.record();
+    if (this.#trySpend(held, limits, count)) {
       const prefetch = this.#prefetchTokens(held);
       if (prefetch >= 1 && held.tokens < prefetch / 2)
         void this.#requestTokens(team, held);
       return ADMITTED;
     }
     if (now < held.refusedUntilMs) return this.#refuse(held, limits);
-    if (await this.#awaitToken(team, held, limits)) return ADMITTED;
+    if (await this.#awaitTokens(team, held, limits, count)) return ADMITTED;
     if (this.#options.clock.now() < held.refusedUntilMs) {
       return this.#refuse(held, limits);
     }
-    if (this.#trySpendFallback(held, limits)) return ADMITTED;
+    if (this.#trySpendFallback(held, limits, count)) return ADMITTED;
     return refused('unavailable', UNAVAILABLE_RETRY_MS);
   }
 
@@ -115,40 +120,46 @@
     );
   }
 
-  /** Requests a token for an operation and spends it; false if none came. */
-  async #awaitToken(
+  /** Requests tokens for an operation and spends them; false if too few came. */
+  async #awaitTokens(
     team: string,
     held: TeamState,
     limits: RateLimits,
+    count: number,
   ): Promise<boolean> {
-    held.waiting += 1;
+    held.waiting += count;
     try {
       for (let requests = 0; requests < MAX_REQUESTS; requests++) {
         await this.#requestTokens(team, held);
-        if (this.#trySpend(held, limits)) return true;
+        if (this.#trySpend(held, limits, count)) return true;
         if (this.#options.clock.now() < held.refusedUntilMs) return false;
       }
       return false;
     } finally {
-      held.waiting -= 1;
+      held.waiting -= count;
     }
   }
 
-  #trySpend(held: TeamState, limits: RateLimits): boolean {
+  #trySpend(held: TeamState, limits: RateLimits, count: number): boolean {
     this.#expireTokens(held, this.#options.clock.now());
     held.tokens = Math.min(held.tokens, Math.max(1, limits.burst));
-    if (held.tokens < 1) return false;
-    held.tokens -= 1;
+    if (held.tokens < count) return false;
+    held.tokens -= count;
     return true;
   }
 
   #expireTokens(held: TeamState, now: number): void {
-    if (now - held.grantedAtMs <= GRANT_VALID_MS) return;
+    const {grantValidMs = GRANT_VALID_MS} = this.#options;
+    if (now - held.grantedAtMs <= grantValidMs) return;
     held.unspent += held.tokens;
     held.tokens = 0;
   }
 
-  #trySpendFallback(held: TeamState, limits: RateLimits): boolean {
+  #trySpendFallback(
+    held: TeamState,
+    limits: RateLimits,
+    count: number,
+  ): boolean {
     const {clock} = this.#options;
     if (clock.now() - held.lastContactAtMs > FALLBACK_MAX_MS) return false;
     const rate = limits.rate * held.share;
@@ -156,7 +167,7 @@
     const size = {rate, burst: Math.max(1, (rate * FALLBACK_BURST_MS) / 1_000)};
     held.fallbackBucket ??= new TokenBucket(clock, size, 1);
     if (held.fallbackBucket.size.rate > rate) held.fallbackBucket.resize(size);
-    return held.fallbackBucket.trySpend(1);
+    return held.fallbackBucket.trySpend(count);
   }
 
   #requestTokens(team: string, held: TeamState): Promise<void> {
@@ -201,7 +212,8 @@
   }
 
   #prefetchTokens(held: TeamState): number {
-    return (held.meter.perSecond * PREFETCH_MS) / 1_000;
+    const {prefetchMs = PREFETCH_MS} = this.#options;
+    return (held.meter.perSecond * prefetchMs) / 1_000;
   }
 
   #stateOf(team: string): TeamState {
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -6,6 +6,7 @@
 import type {PeerCallOutcome} from '../fleet/peer-backed-store.js';
 import type {EraMetrics} from '../infra/era-checked-store.js';
 import type {RejectionMetrics} from '../node/cluster-state.js';
+import type {PaceMetrics} from '../pace/database-pace.js';
 
 /** Bucket bounds around the target response times of the routes. */
 const LATENCY_BUCKETS_S = [
@@ -43,7 +44,9 @@
  * const metrics = new NodeMetrics();
  * metrics.observe({group: 'claims', kind: 'read', outcome: 'done', elapsedMs: 7});
  */
-export class NodeMetrics implements HomeMetrics, EraMetrics, RejectionMetrics {
+export class NodeMetrics
+  implements HomeMetrics, EraMetrics, RejectionMetrics, PaceMetrics
+{
   readonly #registry = new Registry();
   readonly #statements: Counter<'group' | 'kind' | 'outcome'>;
   readonly #latency: Histogram<'kind'>;
@@ -53,6 +56,7 @@
   readonly #storeEra: Gauge;
   readonly #peerCalls: Counter<'outcome'>;
   readonly #rejected: Counter<'reason'>;
+  readonly #paceLimit: Gauge<'group' | 'database'>;
 
   constructor() {
     const registers = [this.#registry];
@@ -105,6 +109,12 @@
       labelNames: ['reason'],
       registers,
     });
+    this.#paceLimit = new Gauge({
+      name: 'zinnia_pace_limit',
+      help: 'Statements at a time that a paced database gets from this node.',
+      labelNames: ['group', 'database'],
+      registers,
+    });
   }
 
   /** Counts a statement; records its latency only if its outcome is `done`. */
@@ -134,6 +144,15 @@
     this.#storeEra.set(era);
   }
 
+  recordPaceLimit(
+    group: string,
+    database: string,
+    limit: number | undefined,
+  ): void {
+    if (limit === undefined) this.#paceLimit.remove(group, database);
+    else this.#paceLimit.set({group, database}, limit);
+  }
+
   recordRejectedAnswer(): void {
     this.#rejected.inc({reason: 'earlierEra'});
   }
