--- a/src/pace/additive-pace.ts
+++ b/src/pace/additive-pace.ts
@@ -1,6 +1,6 @@
 /**
- * A pace that rises by one for each round of good answers and is halved at
- * failures.
+ * A pace that rises with good answers and is halved at failures: by one for each
+ * good answer until the first slow or failed one, then by one for each round.
  *
  * Load pattern: a database returns after a crash with cold caches, flaps, or
  * fails part of its requests, while several nodes have work queued for it. At
@@ -35,6 +35,8 @@
   level: number;
   /** Answers in a row within the expected time since the last failure. */
   goodInRow: number;
+  /** Whether an answer was slow or failed, so that the limit may be near. */
+  hasSlowed: boolean;
   /** Answers since the normal limit was reached. */
   atNormal: number;
   /** Outcomes to come of statements that were sent before the last decrease. */
@@ -102,11 +104,15 @@
       return;
     }
     const isSlow = tookMs > expectedMs * SLOW_RATIO;
-    if (isSlow) return;
+    if (isSlow) {
+      period.hasSlowed = true;
+      return;
+    }
     period.goodInRow += 1;
     const running = Math.floor(period.level);
     if (period.goodInRow >= running) this.#sustained = period.level;
-    this.#setLevel(period, Math.min(normal, period.level + 1 / running));
+    const rise = period.hasSlowed ? 1 / running : 1;
+    this.#setLevel(period, Math.min(normal, period.level + rise));
   }
 
   recordFailure(kind: PaceFailure): void {
@@ -137,7 +143,8 @@
   #begin(reason: PaceReason, level: number): void {
     const counts = {goodInRow: 0, atNormal: 0, answers: 0, failures: 0};
     const start = Math.max(1, level);
-    this.#period = {reason, level: start, sentBefore: 0, ...counts};
+    const state = {level: start, hasSlowed: reason === 'failing'};
+    this.#period = {reason, ...state, sentBefore: 0, ...counts};
     this.#report('began', this.#period);
     this.#onLimit(Math.floor(start));
   }
@@ -146,6 +153,7 @@
   #decreaseTo(period: Period, level: number): void {
     period.sentBefore = Math.floor(period.level) - 1;
     this.#setLevel(period, Math.max(1, level));
+    period.hasSlowed = true;
     period.goodInRow = 0;
     period.atNormal = 0;
   }
