--- a/src/node/cold-budgets.ts
+++ b/src/node/cold-budgets.ts
@@ -41,6 +41,8 @@
 export const OWNER_HOLD_OFF_MS =
   MAX_COPY_AGE_MS + LAPSE_GRACE_MS + COLD_HORIZON_MS;
 const ROLE_CHECK_MS = 500;
+/** A statement and the start of its transaction. */
+const MAX_REQUESTS_PER_STATEMENT = 2;
 /** Maximum delay between the start of a database and its announcement. */
 const ANNOUNCEMENT_DELAY_MS = 1_000;
 
@@ -143,25 +145,18 @@
   }
 
   async admit(id: string, requests: number): Promise<QuotaDecision> {
-    const burst = this.#limitsOf(id)?.burst ?? 1;
-    const count = Math.min(requests, Math.max(1, Math.floor(burst)));
+    const count = Math.min(requests, this.#mostPerStatement(id));
     const decision = await this.#holder.admit(id, count);
-    if (decision.kind === 'refused') this.#noteRefusal(id, decision);
+    if (decision.kind === 'refused') this.#pause(id, decision.retryAfterMs);
     return decision;
   }
 
-  #noteRefusal(
-    id: string,
-    {reason}: Extract<QuotaDecision, {kind: 'refused'}>,
-  ): void {
-    // Of a budget in use the holder itself knows when it has room.
-    if (reason === 'overRate') return;
-    this.#pause(id);
-  }
-
-  #pause(id: string): void {
-    const until = this.#options.clock.now() + UNAVAILABLE_PAUSE_MS;
-    this.#refusedUntil.set(id, until);
+  /** Admits nothing until the budget has a token, or its owner may answer. */
+  #pause(id: string, retryAfterMs = UNAVAILABLE_PAUSE_MS): void {
+    const {rate = 0} = this.#limitsOf(id) ?? {};
+    const perTokenMs = rate > 0 ? 1_000 / rate : UNAVAILABLE_PAUSE_MS;
+    const ms = Math.min(retryAfterMs, perTokenMs, UNAVAILABLE_PAUSE_MS);
+    this.#refusedUntil.set(id, this.#options.clock.now() + ms);
   }
 
   #rateOf(id: string): number {
@@ -176,6 +171,12 @@
     return coldBudgetLimits(rate, this.#options.tolerance);
   }
 
+  /** Requests of one statement that are counted; a burst may allow only one. */
+  #mostPerStatement(id: string): number {
+    const burst = this.#limitsOf(id)?.burst ?? 1;
+    return Math.max(1, Math.min(MAX_REQUESTS_PER_STATEMENT, Math.floor(burst)));
+  }
+
   #isFirst(id: string): boolean {
     const {placement, self} = this.#options;
     return placement.budgetOrder(budgetName(id))[0]?.id === self;
@@ -212,7 +213,8 @@
     const [owner] = placement.budgetOrder(budgetName(id));
     if (owner === undefined) throw new Error('no live node to own the budget');
     // Grants that were not used are not granted again: they may still count.
-    const sent = {...req, returned: 0};
+    const atLeast = Math.min(req.wanted, this.#mostPerStatement(id));
+    const sent = {...req, atLeast, returned: 0};
     if (owner.id === self) return this.#checked(id, this.serve(self, sent));
     try {
       const options = {timeoutMs: TAKE_TIMEOUT_MS};
--- a/src/quota/budget-owner.ts
+++ b/src/quota/budget-owner.ts
@@ -97,7 +97,7 @@
     const owned = this.#ownedBudgetOf(req.team, limits, role);
     const {budget} = owned;
     this.#takeBack(owned, holder, req.returned);
-    const tokens = budget.drain(req.wanted);
+    const tokens = budget.drain(req.wanted, req.atLeast);
     this.#recordGrant(owned, holder, tokens);
     return {
       kind: 'granted',
--- a/src/quota/types.ts
+++ b/src/quota/types.ts
@@ -8,6 +8,8 @@
   readonly team: string;
   /** Tokens wanted now. */
   readonly wanted: number;
+  /** Fewer tokens are of no use; 1 by default. */
+  readonly atLeast?: number;
   /** Tokens granted earlier that were not spent and are given back. */
   readonly returned: number;
 }
@@ -15,9 +17,10 @@
 /** Decodes a token request of another node; undefined if it is malformed. */
 export function decodeTokenRequest(body: unknown): TokenRequest | undefined {
   if (typeof body !== 'object' || body === null) return undefined;
-  const {team, wanted, returned} = body as Partial<TokenRequest>;
+  const {team, wanted, atLeast, returned} = body as Partial<TokenRequest>;
   if (typeof team !== 'string' || !isCount(wanted)) return undefined;
-  return {team, wanted, returned: isCount(returned) ? returned : 0};
+  const least = isCount(atLeast) ? {atLeast} : {};
+  return {team, wanted, ...least, returned: isCount(returned) ? returned : 0};
 }
 
 function isCount(value: unknown): value is number {
--- a/src/quota/window-budget.ts
+++ b/src/quota/window-budget.ts
@@ -76,14 +76,18 @@
     return this.#limits;
   }
 
-  /** Takes up to `wanted` whole tokens and returns the number taken. */
-  drain(wanted: number): number {
+  /**
+   * Takes up to `wanted` whole tokens, or none if there are less than `atLeast`;
+   * returns the number taken.
+   */
+  drain(wanted: number, atLeast?: number): number {
     this.#refresh();
     const count = Math.min(
       wanted,
       this.#bucket.tokens,
       this.#remainingInWindow,
     );
+    if (atLeast !== undefined && count < atLeast) return 0;
     const taken = this.#bucket.drain(Math.floor(count));
     this.#recordGrant(taken);
     return taken;
--- a/test/admission/concurrency-limit.test.ts
+++ b/test/admission/concurrency-limit.test.ts
@@ -29,6 +29,15 @@
   expect(limit.value).toBe(1);
 });
 
+test('is no more than the pace of the database', () => {
+  const limit = new ConcurrencyLimit({
+    slots: () => 4,
+    connections: () => 3,
+    pace: {limit: slots => slots - 2},
+  });
+  expect(limit.value).toBe(2);
+});
+
 test('keeps two slots busy and the latency of urgent work low', () => {
   const connections = () => 16;
   const chosen = runModel(new ConcurrencyLimit({slots: () => 2, connections}));
--- a/test/statements/store-era.test.ts
+++ b/test/statements/store-era.test.ts
@@ -88,6 +88,27 @@
   };
 }
 
+describe('a cold database that counts down in its heartbeats', () => {
+  it('is relayed as it becomes cold and as it becomes warm, and not in between', async () => {
+    const {announce, start, state, settle} = createNode();
+    const relayed = () => JSON.stringify(state.relay.serve({}));
+    announce({sequence: 1});
+    start();
+    await settle();
+    announce({sequence: 2, coldRemainingMs: 20_000});
+    await settle();
+    expect(relayed()).toContain('"coldRemainingMs\\":20000');
+    expect(state.coldRemainingMs('db-1')).toBeGreaterThan(15_000);
+    announce({sequence: 3, coldRemainingMs: 17_000});
+    await settle();
+    expect(relayed()).toContain('"coldRemainingMs\\":20000');
+    announce({sequence: 4, coldRemainingMs: 0});
+    await settle();
+    expect(relayed()).toContain('"coldRemainingMs\\":0');
+    expect(state.coldRemainingMs('db-1')).toBe(0);
+  });
+});
+
 describe('a node after the store was restored from an older copy', () => {
   it('keeps a draining database draining', async () => {
     const {fake, announce, start, known, settle, rejected} = createNode();
