--- a/src/node/cold-budgets.ts
+++ b/src/node/cold-budgets.ts
@@ -191,17 +191,26 @@
   }
 
   #updateRoles(): void {
-    const {clock, lease, copyAgeMs, clusterState} = this.#options;
+    const {clock, log, lease, copyAgeMs, clusterState} = this.#options;
     const isInTouch = lease.isHeld && copyAgeMs() <= MAX_COPY_AGE_MS;
     const owned = new Set<string>();
     for (const {id} of clusterState.entries) {
       if (isInTouch && this.#rateOf(id) > 0 && this.#isFirst(id)) owned.add(id);
     }
     for (const id of this.#firstSince.keys()) {
-      if (!owned.has(id)) this.#firstSince.delete(id);
+      if (owned.has(id)) continue;
+      this.#firstSince.delete(id);
+      log.info('coldBudgetLeft', {
+        database: id,
+        isLeaseHeld: lease.isHeld,
+        copyAgeMs: Math.round(copyAgeMs()),
+      });
     }
     for (const id of owned) {
-      if (!this.#firstSince.has(id)) this.#firstSince.set(id, clock.now());
+      if (this.#firstSince.has(id)) continue;
+      this.#firstSince.set(id, clock.now());
+      const grantsInMs = OWNER_HOLD_OFF_MS;
+      log.info('coldBudgetTaken', {database: id, grantsInMs});
     }
   }
 
