--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -219,8 +219,11 @@
   stop(): void {
     this.#stopping.abort();
     this.#transactions.stop();
-    for (const {pool} of this.#members.values()) pool.close();
-    const {failoverLease, rights, group} = this.#options;
+    const {failoverLease, rights, group, pacing} = this.#options;
+    for (const {id, pool} of this.#members.values()) {
+      pool.close();
+      pacing?.recordPaceLimit(group, id, undefined);
+    }
     void failoverLease.release(group);
     void rights.release(group);
   }
--- a/src/home/group-member.ts
+++ b/src/home/group-member.ts
@@ -165,6 +165,11 @@
     return this.isCold && cold ? cold.refusedForMs(this.id) : 0;
   }
 
+  /** Milliseconds after which the next caller that it refuses should retry. */
+  nextColdRetryMs(): number {
+    return this.#options.cold?.nextRetryMs(this.id) ?? 0;
+  }
+
   /**
    * Admits requests under the limit of a cold database; undefined if it is not
    * cold.
--- a/src/home/statement-attempt.ts
+++ b/src/home/statement-attempt.ts
@@ -60,8 +60,8 @@
 ): Promise<SlotResult<TeamConnection>> {
   const {req, signal, deadlineAt} = attempt;
   if (!acceptsWork(ctx, member.id)) return drainingRefusal(ctx, member);
-  const coldMs = member.coldRefusedForMs;
-  if (coldMs > 0) return coldRefusal(member, coldMs);
+  if (member.coldRefusedForMs > 0)
+    return coldRefusal(member, member.nextColdRetryMs());
   const result = await member.pool.acquire({
     team: req.team,
     priority: req.priority,
--- a/src/home/transaction-statements.ts
+++ b/src/home/transaction-statements.ts
@@ -23,6 +23,8 @@
 /** Maximum number of tries of a statement that finds the database busy. */
 const MAX_BUSY_TRIES = 6;
 const BUSY_PAUSE_MS = 12;
+/** Maximum number of tries to get a request to a cold database admitted. */
+const MAX_COLD_TRIES = 6;
 
 /** An open transaction and the database it runs on. */
 export interface OpenTransaction extends PinnedTransaction<TeamConnection> {
@@ -94,21 +96,21 @@
   }
 
   /**
-   * Waits until a cold database may get one more request; refuses if it may not
-   * before the deadline.
+   * Waits until a cold database may get one more request; refuses after a few
+   * tries or if it may not before the deadline.
    */
   async #awaitColdLimit(
     member: GroupMember,
     deadlineAt: number,
   ): Promise<NotRun | undefined> {
     const {clock} = this.#ctx;
-    for (;;) {
+    for (let tries = 1; ; tries++) {
       const admitted = await member.admitCold(1);
       if (admitted?.kind !== 'refused') return undefined;
-      const {retryAfterMs} = admitted;
-      if (clock.now() + retryAfterMs >= deadlineAt)
-        return coldRefusal(member, retryAfterMs).verdict;
-      await clock.sleep(retryAfterMs);
+      const waitMs = Math.max(1, member.coldRefusedForMs);
+      if (tries >= MAX_COLD_TRIES || clock.now() + waitMs >= deadlineAt)
+        return coldRefusal(member, admitted.retryAfterMs).verdict;
+      await clock.sleep(waitMs);
     }
   }
 
--- a/src/node/cold-budgets.ts
+++ b/src/node/cold-budgets.ts
@@ -14,6 +14,7 @@
 import type {PeerCaller, PeerHandler} from '../peers/types.js';
 import {BudgetHolder} from '../quota/budget-holder.js';
 import {BudgetOwner} from '../quota/budget-owner.js';
+import {RetrySpacing} from '../quota/retry-spacing.js';
 import {
   decodeTokenRequest,
   type QuotaDecision,
@@ -82,6 +83,7 @@
   readonly #firstSince = new Map<string, number>();
   /** Until when this node admits nothing to a database. */
   readonly #refusedUntil = new Map<string, number>();
+  readonly #retrySpacings = new Map<string, RetrySpacing>();
 
   constructor(options: ColdBudgetsOptions) {
     const {clock, log} = options;
@@ -147,8 +149,17 @@
   async admit(id: string, requests: number): Promise<QuotaDecision> {
     const count = Math.min(requests, this.#mostPerStatement(id));
     const decision = await this.#holder.admit(id, count);
-    if (decision.kind === 'refused') this.#pause(id, decision.retryAfterMs);
-    return decision;
+    if (decision.kind === 'admitted') return decision;
+    this.#pause(id, decision.retryAfterMs);
+    return {...decision, retryAfterMs: this.nextRetryMs(id)};
+  }
+
+  nextRetryMs(id: string): number {
+    const {clock} = this.#options;
+    const spacing = this.#retrySpacings.get(id) ?? new RetrySpacing(clock);
+    this.#retrySpacings.set(id, spacing);
+    const rate = this.#limitsOf(id)?.rate ?? 0;
+    return spacing.nextDelayMs(this.refusedForMs(id), rate);
   }
 
   /** Admits nothing until the budget has a token, or its owner may answer. */
--- a/src/pace/cold-limit.ts
+++ b/src/pace/cold-limit.ts
@@ -42,6 +42,8 @@
   isCold(id: string, returnedAt: number): boolean;
   /** Milliseconds for which a database certainly gets nothing more. */
   refusedForMs(id: string): number;
+  /** Milliseconds after which the next refused caller should retry. */
+  nextRetryMs(id: string): number;
   /** Admits requests to a cold database, or none. */
   admit(id: string, requests: number): Promise<QuotaDecision>;
 }
