--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -27,6 +27,9 @@
 import type {BudgetHolder} from '../quota/budget-holder.js';
 import type {QuotaDecision} from '../quota/types.js';
 import type {DatabaseLoad, GroupSharing} from '../load/types.js';
+import type {ColdLimit} from '../pace/cold-limit.js';
+import {createDatabasePace, type PaceMetrics} from '../pace/database-pace.js';
+import type {Pace} from '../pace/pace.js';
 import {PositionCertificates} from '../routing/certificates.js';
 import type {StatementConnector} from '../statements/connection.js';
 import type {LogFields, Logger} from '../telemetry/log.js';
@@ -124,6 +127,10 @@
   readonly mayHaveLapsed: () => boolean;
   /** Load information of the group's other senders; undefined if not shared. */
   readonly sharing?: GroupSharing | undefined;
+  /** Paces databases that start or recover, and records it; off by default. */
+  readonly pacing?: PaceMetrics | undefined;
+  /** Bounds the requests to cold databases; unlimited by default. */
+  readonly cold?: ColdLimit | undefined;
 }
 
 /**
@@ -152,7 +159,11 @@
   readonly #right: GroupRight;
   readonly #stopping = new AbortController();
   #running = 0;
+  /** The last database that was known to lead. */
+  #lastLeaderId: string | undefined;
   #lastUsedAt: number;
+  /** Whether the databases that were known as the home opened are applied. */
+  #isStarted = false;
 
   constructor(options: CertifiedHomeOptions) {
     const {clock, log, group, catalog} = options;
@@ -229,6 +240,7 @@
 
   start(): void {
     const {signal} = this.#stopping;
+    this.#isStarted = true;
     this.#transactions.start();
     void this.#keeper.run(signal);
     void this.#evacuated.run(signal);
@@ -242,8 +254,11 @@
   stop(): void {
     this.#stopping.abort();
     this.#transactions.stop();
-    for (const {pool} of this.#members.values()) pool.close();
-    const {failoverLease, rights, group} = this.#options;
+    const {failoverLease, rights, group, pacing} = this.#options;
+    for (const {id, pool} of this.#members.values()) {
+      pool.close();
+      pacing?.recordPaceLimit(group, id, undefined);
+    }
     void failoverLease.release(group);
     void rights.release(group);
   }
@@ -271,7 +286,9 @@
       known.entry = entry;
     } else {
       if (known !== undefined) this.#drop(entry.id, known, 'restarted');
-      this.#members.set(entry.id, this.#createMember(entry));
+      const member = this.#createMember(entry);
+      this.#members.set(entry.id, member);
+      member.beginPace(this.#isStarted ? 'started' : 'takenOver');
     }
     const now = this.#options.clock.now();
     this.#leadership.recordAnnouncement(entry.id, entry.role, now);
@@ -311,6 +328,7 @@
 
   #logLeader(leader: LeaderBasis | undefined): void {
     const {clock, log, group} = this.#options;
+    this.#paceNewLeader(leader?.id);
     const isProven = leader !== undefined && leader.provenAt > -Infinity;
     log.info('leaderChanged', {
       group,
@@ -324,6 +342,14 @@
     });
   }
 
+  /** Paces a database that takes the primary's work over from another one. */
+  #paceNewLeader(id: string | undefined): void {
+    if (id === undefined || id === this.#lastLeaderId) return;
+    if (this.#lastLeaderId !== undefined)
+      this.#members.get(id)?.beginPace('promoted');
+    this.#lastLeaderId = id;
+  }
+
   /** Logs a failed statement with the state of the home. */
   #logFailure(
     req: StatementRequest,
@@ -475,9 +501,16 @@
       connectionLimit: () => this.#connectionLimit(entry.id),
       weightOf: team => catalog().teams.get(team)?.rate ?? DEFAULT_WEIGHT,
       anyTeam: () => catalog().teams.keys().next().value,
+      pace: this.#createPace(entry.id),
+      cold: this.#options.cold,
     });
   }
 
+  #createPace(database: string): Pace | undefined {
+    const {log, group, pacing: metrics} = this.#options;
+    return metrics && createDatabasePace({log, metrics, group, database});
+  }
+
   #connectionLimit(id: string): number {
     const {catalog, group} = this.#options;
     const all = catalog().groups.get(group)?.maxConnections ?? 0;
@@ -520,6 +553,7 @@
       reason,
     });
     member.pool.close();
+    this.#options.pacing?.recordPaceLimit(this.#options.group, id, undefined);
     this.#members.delete(id);
     this.#missingSince.delete(id);
     this.#leadership.forget(id);
--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -159,6 +159,9 @@
     });
     if (acquired.kind === 'refused') return;
     const {slot} = acquired;
+    const admitting = member.admitCold(1);
+    if (admitting !== undefined && (await admitting).kind === 'refused')
+      return slot.release();
     const claim = claimPrimary(this.#ctx, member);
     const sentAt = clock.now();
     const end = member.trackWork(slot.connection);
@@ -170,7 +173,7 @@
       if (begun !== undefined)
         recordBegin(this.#ctx, member, begun, sentAt, claim);
     } catch (err) {
-      member.health.recordFailure();
+      member.recordFailure();
       this.#ctx.log.info('certificateNotFetched', {
         group: this.#ctx.group,
         database: member.id,
@@ -369,7 +372,7 @@
       }
       return [...replies];
     } catch (err) {
-      member.health.recordFailure();
+      member.recordFailure();
       this.#ctx.log.info('readTryLost', {
         request: statement.requestId,
         database: member.id,
@@ -493,7 +496,7 @@
         isPrimary: member.id === leadership.leaderId && right.isHeld,
         isReachable: member.health.isReachable,
         outstanding: member.pool.outstanding,
-        slots: member.entry.slots,
+        slots: member.pacedSlots,
         // A replica to which only others have sent work is not measured here.
         costMs: Math.max(
           member.pool.costMs,
--- a/src/home/full-replica.ts
+++ b/src/home/full-replica.ts
@@ -17,11 +17,11 @@
 /** Whether a database has as much work, of all nodes, as a reader lets queue. */
 export function isFull(
   {sharing}: HomeContext,
-  {id, pool, entry}: GroupMember,
+  {id, pool, pacedSlots}: GroupMember,
 ): boolean {
   const elsewhere = sharing?.load.outstandingElsewhere(id) ?? 0;
   const outstanding = pool.outstanding + elsewhere;
-  return outstanding >= entry.slots * MAX_STATEMENTS_PER_SLOT;
+  return outstanding >= pacedSlots * MAX_STATEMENTS_PER_SLOT;
 }
 
 /**
--- a/src/home/statement-attempt.ts
+++ b/src/home/statement-attempt.ts
@@ -91,6 +91,8 @@
 ): Promise<SlotResult<TeamConnection>> {
   const {req, signal, deadlineAt} = attempt;
   if (!acceptsWork(ctx, member.id)) return closedRefusal(ctx, member);
+  if (member.coldRefusedForMs > 0)
+    return coldRefusal(member, member.nextColdRetryMs());
   const result = await member.pool.acquire({
     team: req.team,
     priority: req.priority,
@@ -107,6 +109,12 @@
     return result;
   }
   ctx.metrics.recordQueueWait(req.priority, result.slot.waitedMs);
+  const admitting = member.admitCold(requestsOf(ctx, req, member));
+  const admitted = admitting && (await admitting);
+  if (admitted?.kind === 'refused') {
+    result.slot.release();
+    return coldRefusal(member, admitted.retryAfterMs);
+  }
   // The database may have been closed while the statement was queued.
   if (!acceptsWork(ctx, member.id)) {
     result.slot.release();
@@ -116,6 +124,29 @@
   return result;
 }
 
+/**
+ * The requests that a statement makes to a database. The end of a transaction
+ * and the set-up of a session are not counted.
+ */
+function requestsOf(
+  {leadership}: HomeContext,
+  {kind, opens}: StatementRequest,
+  {id}: GroupMember,
+): number {
+  const begins = kind === 'read' && leadership.leaderId === id;
+  return begins || opens !== undefined ? 2 : 1;
+}
+
+/** Creates the refusal of a statement by the limit of a cold database. */
+export function coldRefusal(
+  {id}: GroupMember,
+  retryAfterMs: number,
+): {readonly kind: 'refused'; readonly verdict: NotRun} {
+  const message = `database ${id} is cold and gets no more requests now`;
+  const verdict = notRun('overloaded', message, Math.ceil(retryAfterMs));
+  return {kind: 'refused', verdict};
+}
+
 function closedRefusal(
   ctx: HomeContext,
   {id, entry}: GroupMember,
--- a/src/home/transaction-statements.ts
+++ b/src/home/transaction-statements.ts
@@ -9,6 +9,7 @@
 import type {PinnedTransaction} from './open-transactions.js';
 import {
   answered,
+  coldRefusal,
   connectionVerdict,
   rolledBackVerdict,
   runStatement,
@@ -26,6 +27,8 @@
  */
 const MIN_BUSY_TRIES = 6;
 const BUSY_PAUSE_MS = 12;
+/** Maximum number of tries to get a request to a cold database admitted. */
+const MAX_COLD_TRIES = 6;
 
 /** An open transaction and the database it runs on. */
 export interface OpenTransaction extends PinnedTransaction<TeamConnection> {
@@ -62,6 +65,14 @@
       return failedStatement(this.#rolledBack(pin), 'failed');
     }
     const {member, slot, claim} = open;
+    const refusal = member.isCold
+      ? await this.#awaitColdLimit(member, deadlineAt)
+      : undefined;
+    if (refusal !== undefined) {
+      leave();
+      transactions.rollBack(slot);
+      return failedStatement(rolledBackVerdict(refusal), 'failed');
+    }
     if (claim?.isValid === false) {
       leave();
       transactions.rollBack(slot);
@@ -75,7 +86,7 @@
     } catch (err) {
       slot.connection.close();
       slot.release();
-      member.health.recordFailure();
+      member.recordFailure();
       const verdict = connectionVerdict(err, member.id);
       if (req.commits && verdict.kind === 'mayHaveRun') {
         return failedStatement(verdict);
@@ -98,6 +109,25 @@
     return notRun('targetUnavailable', message, 0);
   }
 
+  /**
+   * Waits until a cold database may get one more request; refuses after a few
+   * tries or if it may not before the deadline.
+   */
+  async #awaitColdLimit(
+    member: GroupMember,
+    deadlineAt: number,
+  ): Promise<NotRun | undefined> {
+    const {clock} = this.#ctx;
+    for (let tries = 1; ; tries++) {
+      const admitted = await member.admitCold(1);
+      if (admitted?.kind !== 'refused') return undefined;
+      const waitMs = Math.max(1, member.coldRefusedForMs);
+      if (tries >= MAX_COLD_TRIES || clock.now() + waitMs >= deadlineAt)
+        return coldRefusal(member, admitted.retryAfterMs).verdict;
+      await clock.sleep(waitMs);
+    }
+  }
+
   async #runOn(
     req: StatementRequest,
     member: GroupMember,
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -49,6 +49,7 @@
 import {NodeMetrics, type NodeGauges} from '../telemetry/node-metrics.js';
 import type {NotRun} from '../verdict/verdict.js';
 import {NodeBudgets} from './node-budgets.js';
+import {ColdBudgets} from './cold-budgets.js';
 import {ClusterState, type ClusterStateChange} from './cluster-state.js';
 import {WorkPlacement} from './work-placement.js';
 
@@ -104,6 +105,12 @@
   readonly drainMs: number;
   /** Time from a request to evacuate a data centre until it must be unused. */
   readonly evacuateMs: number;
+  /** Whether databases that start, recover or fail requests are paced. */
+  readonly pacing: boolean;
+  /** Multiple of its rate that a cold database may get in any second. */
+  readonly coldOverage: number;
+  /** Requests by which a second may exceed that. */
+  readonly coldSlack: number;
   /** Time between the request to shut down and the kill of the process. */
   readonly graceMs: number;
   readonly log: Logger;
@@ -153,6 +160,7 @@
   readonly #lease: MemberLease;
   readonly #delay: NodeDelay;
   readonly #budgets: NodeBudgets;
+  readonly #coldBudgets: ColdBudgets;
   readonly #rights: PrimaryRights;
   readonly #handover: PrimaryHandover;
   readonly #instance = randomUUID().slice(0, 8);
@@ -242,6 +250,17 @@
       slack: options.rateSlack,
       signal: this.#stopping.signal,
     });
+    this.#coldBudgets = new ColdBudgets({
+      clock,
+      log,
+      self: id,
+      clusterState: this.#cluster,
+      copyAgeMs: () => this.#cluster.feed.ageMs(),
+      placement: this.#placement,
+      lease: this.#lease,
+      peers: this.#peers,
+      tolerance: {overage: options.coldOverage, slack: options.coldSlack},
+    });
     this.#rights = new PrimaryRights({
       store,
       clock,
@@ -277,6 +296,7 @@
         [EVACUATIONS_METHOD, async () => this.#cluster.evacuations.encode()],
         [STORE_CALL_METHOD, body => store.serve(body)],
         ...this.#budgets.handlers,
+        ...this.#coldBudgets.handlers,
         ...this.#handover.handlers,
       ]),
     });
@@ -318,6 +338,7 @@
     void this.#lease.run(signal);
     void this.#delay.run(signal);
     void this.#rights.run(signal);
+    void this.#coldBudgets.run(signal);
     void runAtTicks(this.#clock, ERA_CHECK_PERIOD_MS, signal, () =>
       this.#handover.noteEra(),
     );
@@ -512,6 +533,8 @@
       isEvacuationDue: group => this.#placement.isEvacuationDue(group),
       mayHaveLapsed: () => this.#cluster.mayHaveLapsed,
       sharingOf: group => this.#loadSharing?.of(group),
+      pacing: this.#options.pacing ? this.metrics : undefined,
+      cold: this.#coldBudgets,
     });
   }
 
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -9,6 +9,7 @@
 import type {LoadMetrics, LoadReportOutcome} from '../load/types.js';
 import type {RejectionMetrics} from '../node/cluster-state.js';
 import type {RefusalReason} from '../verdict/verdict.js';
+import type {PaceMetrics} from '../pace/database-pace.js';
 
 /** Bucket bounds around the target response times of the routes. */
 const LATENCY_BUCKETS_S = [
@@ -54,7 +55,7 @@
  * metrics.observe({group: 'claims', kind: 'read', outcome: 'done', elapsedMs: 7});
  */
 export class NodeMetrics
-  implements HomeMetrics, EraMetrics, RejectionMetrics, LoadMetrics
+  implements HomeMetrics, EraMetrics, RejectionMetrics, LoadMetrics, PaceMetrics
 {
   readonly #registry = new Registry();
   readonly #statements: Counter<'group' | 'kind' | 'outcome'>;
@@ -70,6 +71,7 @@
   readonly #refused: Counter<'priority' | 'reason'>;
   readonly #loadReports: Counter<'outcome'>;
   readonly #passedOn: Counter<'group'>;
+  readonly #paceLimit: Gauge<'group' | 'database'>;
 
   constructor() {
     const registers = [this.#registry];
@@ -153,6 +155,12 @@
       labelNames: ['group'],
       registers,
     });
+    this.#paceLimit = new Gauge({
+      name: 'zinnia_pace_limit',
+      help: 'Statements at a time that a paced database gets from this node.',
+      labelNames: ['group', 'database'],
+      registers,
+    });
   }
 
   /** Counts a statement; records its latency only if its outcome is `done`. */
@@ -194,6 +202,15 @@
     this.#storeEra.set(era);
   }
 
+  recordPaceLimit(
+    group: string,
+    database: string,
+    limit: number | undefined,
+  ): void {
+    if (limit === undefined) this.#paceLimit.remove(group, database);
+    else this.#paceLimit.set({group, database}, limit);
+  }
+
   recordRejectedAnswer(): void {
     this.#rejected.inc({reason: 'earlierEra'});
   }
