--- a/src/admission/fair-queue.ts
+++ b/src/admission/fair-queue.ts
@@ -4,6 +4,7 @@
 import {PriorityLevel} from './priority-level.js';
 import type {QueuedItem} from './team-queues.js';
 import {
+  isWaitWithin,
   solveWait,
   workWithin,
   type WaitEstimate,
@@ -215,8 +216,8 @@
       sameMs += costMs;
       if (latencyGoalMs === undefined) continue;
       const place = {priority, isLate, sameMs: aheadMs, costMs};
-      const {waitMs} = this.#estimate({...place, countsArrivals: true});
-      if (nowMs + waitMs + costMs > deadlineMs) {
+      const leftMs = deadlineMs - nowMs - costMs;
+      if (!this.#isServedWithin(leftMs, {...place, countsArrivals: true})) {
         level.remove(item);
         hopeless.push(item);
       } else if (!isLate && nowMs + costMs > latencyGoalMs) {
@@ -232,7 +233,7 @@
    */
   #drainMs({priority, latencyGoalMs}: SchedulingParams, ms: number): number {
     if (latencyGoalMs === undefined) return ms;
-    const concurrency = Math.max(1, this.#options.concurrency());
+    const concurrency = this.#concurrency;
     let free = concurrency - this.#levelOf(priority).offeredRate.perMs;
     for (const level of this.#levels.slice(0, levelIndex(priority))) {
       free -= level.rate.perMs;
@@ -278,8 +279,18 @@
     };
   }
 
+  #isServedWithin(ms: number, place: Place): boolean {
+    const fixedMs = place.sameMs + this.#floorMs(place);
+    const streams = this.#streamsBefore(place);
+    return isWaitWithin(ms, fixedMs, streams, this.#concurrency);
+  }
+
+  get #concurrency(): number {
+    return Math.max(1, this.#options.concurrency());
+  }
+
   #estimate(place: Place): WaitEstimate {
-    const concurrency = Math.max(1, this.#options.concurrency());
+    const concurrency = this.#concurrency;
     const streams = this.#streamsBefore(place);
     const floorMs = this.#floorMs(place);
     const {sameMs} = place;
@@ -335,7 +346,8 @@
     const dispatches = (inTimeMs + sameMs) / Math.max(1, costMs);
     const turns = dispatches / (FLOOR_DISPATCH_INTERVAL - 1);
     let floorMs = 0;
-    for (const level of this.#levels.slice(priority + 1)) {
+    for (const [index, level] of this.#levels.entries()) {
+      if (index <= priority || level.size === 0) continue;
       const limitMs = turns * level.costMs(costMs);
       floorMs = Math.max(floorMs, Math.min(level.totalCostMs, limitMs));
     }
--- a/src/admission/wait-estimate.ts
+++ b/src/admission/wait-estimate.ts
@@ -67,6 +67,22 @@
   return Infinity;
 }
 
+/**
+ * Returns whether the wait is at most `ms`. Cheaper than solving it: the work
+ * grows ever more slowly with the wait, so it is enough to compare the work
+ * within `ms` with what the slots can run by then.
+ */
+export function isWaitWithin(
+  ms: number,
+  fixedMs: number,
+  streams: readonly WorkStream[],
+  concurrency: number,
+): boolean {
+  let workMs = fixedMs;
+  for (const stream of streams) workMs += workWithin(stream, ms);
+  return ms >= 0 && workMs <= concurrency * ms;
+}
+
 /** Returns the work of a stream that is dispatched within a wait. */
 export function workWithin(
   {queuedMs, arrivingPerMs, limitMs}: WorkStream,
--- a/src/admission/work-rate.ts
+++ b/src/admission/work-rate.ts
@@ -52,6 +52,7 @@
 
   #decay(): void {
     const nowMs = this.#clock.now();
+    if (nowMs === this.#updatedAtMs) return;
     const elapsedMs = Math.max(0, nowMs - this.#updatedAtMs);
     this.#perMs *= Math.exp(-elapsedMs / WINDOW_MS);
     this.#updatedAtMs = nowMs;
--- a/test/admission/wait-estimate.test.ts
+++ b/test/admission/wait-estimate.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from 'vitest';
 import {FairQueue} from '../../src/admission/fair-queue.js';
-import {solveWait} from '../../src/admission/wait-estimate.js';
+import {isWaitWithin, solveWait} from '../../src/admission/wait-estimate.js';
 import {ManualClock} from './manual-clock.js';
 
 test.each([
@@ -26,6 +26,9 @@
     limitMs,
   }));
   expect(solveWait(fixedMs, all, 2)).toBeCloseTo(waitMs);
+  for (const ms of [0, 10, 30, 60, 100]) {
+    expect(isWaitWithin(ms, fixedMs, all, 2)).toBe(waitMs <= ms);
+  }
 });
 
 const isOver = (min: number) => (value: number) => value > min;
