--- a/bench/benches.ts
+++ b/bench/benches.ts
@@ -12,6 +12,7 @@
   ['replicas', 'share of reads served by replicas at several lags'],
   ['fleet', 'the four measures on a whole fleet'],
   ['slopes', 'how control traffic, CPU and memory grow with the fleet'],
+  ['start', 'time and CPU from the start of a node to its first statement'],
   ['admission', 'wrongful refusals and the worst-served team'],
 ]);
 
--- a/src/fleet/store-feed.ts
+++ b/src/fleet/store-feed.ts
@@ -88,6 +88,8 @@
   readonly prefix: string;
   /** Called with each change, oldest first. Must not throw. */
   readonly onChange: (change: FeedChange) => void;
+  /** Returns a number from 0 to 1; `Math.random` by default. */
+  readonly random?: () => number;
 }
 
 /**
@@ -111,6 +113,8 @@
   /** Latest position up to which answers of this era included changes. */
   #latest: StorePosition | undefined;
   #startedAtMs = 0;
+  /** Ends the interval between two polls. */
+  #endInterval: () => void = () => {};
 
   constructor(options: StoreFeedOptions) {
     this.#options = options;
@@ -144,6 +148,14 @@
     return elapsedSince(this.#options.clock, this.#interruptedAt);
   }
 
+  /**
+   * Polls without waiting for the end of the interval, to learn of a change that
+   * this node has made.
+   */
+  pollSoon(): void {
+    this.#endInterval();
+  }
+
   /** Polls the store until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const {clock} = this.#options;
@@ -167,11 +179,20 @@
         }
         this.#recordFailure(err);
         const retryMs = Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** failures++);
-        await clock.sleep(retryMs, signal);
+        await clock.sleep(retryMs * this.#spread(), signal);
       }
     }
   }
 
+  /**
+   * Spreads the repeated listings of nodes that started together over twice the
+   * usual delay, 200 ms at first. Polls are repeated after that delay.
+   */
+  #spread(): number {
+    const {random = Math.random} = this.#options;
+    return this.#covered.length === 0 ? 2 * random() : 1;
+  }
+
   /** Spaces polls, so that changes in quick succession are fetched together. */
   async #waitForNextPoll(
     startedAt: number,
@@ -182,7 +203,13 @@
     const isStartup = startedAt - this.#startedAtMs < STARTUP_MS;
     const spacingMs = isStartup ? STARTUP_SPACING_MS : POLL_SPACING_MS;
     const remainingMs = startedAt + spacingMs - clock.now();
-    if (remainingMs > 0) await clock.sleep(remainingMs, signal);
+    if (remainingMs <= 0) return;
+    const interval = new AbortController();
+    const end = () => interval.abort();
+    this.#endInterval = end;
+    signal.addEventListener('abort', end, {once: true});
+    await clock.sleep(remainingMs, interval.signal);
+    signal.removeEventListener('abort', end);
   }
 
   /** Whether to poll without delay, to update the copy after a failure or at startup. */
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -45,10 +45,15 @@
 } from '../sessions/statement-session.js';
 import type {StatementConnector} from '../statements/connection.js';
 import type {Logger} from '../telemetry/log.js';
-import {NodeMetrics, type NodeGauges} from '../telemetry/node-metrics.js';
+import {
+  NodeMetrics,
+  type FinishedStatement,
+  type NodeGauges,
+} from '../telemetry/node-metrics.js';
 import type {NotRun} from '../verdict/verdict.js';
 import {NodeBudgets} from './node-budgets.js';
 import {ClusterState, type ClusterStateChange} from './cluster-state.js';
+import {StartSteps} from './start-steps.js';
 import {WorkPlacement} from './work-placement.js';
 
 const RELEASE_TIMEOUT_MS = 1_000;
@@ -63,7 +68,7 @@
 const MAX_READY_CATALOG_AGE_MS = 2_400;
 /** Maximum time that a starting node waits for the configuration. */
 const CATALOG_WAIT_MS = 1_500;
-const CATALOG_POLL_MS = 10;
+const CATALOG_POLL_MS = 2;
 /** Nodes that a starting node asks for what a restored store may have lost. */
 const MAX_PEERS_ASKED = 3;
 const LEARN_TIMEOUT_MS = 300;
@@ -104,6 +109,8 @@
   readonly decode: (change: FeedChange) => ClusterStateChange | undefined;
   readonly connector: StatementConnector;
   readonly orders: FailoverOrders;
+  /** The steps of the process before the node was created. */
+  readonly startSteps?: StartSteps;
 }
 
 /** The caller sessions of this node, as the shutdown controls them. */
@@ -150,6 +157,8 @@
   readonly #homeMonitor: HomeMonitor;
   readonly #sessionContext: SessionContext;
   readonly #startedAt = this.#clock.now();
+  readonly #startSteps: StartSteps;
+  #hasServed = false;
   #isLeaving = false;
   /** Whether the node has asked others for what the store may have lost. */
   #hasLearnt = false;
@@ -158,6 +167,8 @@
     const {id, host, log} = options;
     const clock = this.#clock;
     this.#options = options;
+    const {startSteps} = options;
+    this.#startSteps = startSteps ?? new StartSteps(() => clock.now());
     const {metrics} = this;
     const storeAccess = new StoreAccess(clock);
     const direct = new TrackedStore(
@@ -290,8 +301,12 @@
    */
   async start(): Promise<void> {
     const {signal} = this.#stopping;
-    await this.#peerServer.listen();
+    const steps = this.#startSteps;
+    // The node registers once other nodes reach it; reading needs no port.
+    const listening = this.#peerServer.listen();
     void this.#cluster.feed.run(signal);
+    await listening;
+    steps.end('peerPort');
     void this.#lease.run(signal);
     void this.#rights.run(signal);
     void runAtTicks(this.#clock, ERA_CHECK_PERIOD_MS, signal, () =>
@@ -299,16 +314,22 @@
     );
     void this.#homeMonitor.run(signal);
     this.#homes.start();
+    void this.#noticeRegistration();
     const {id, host, peerPort, dataCentre} = this.#options;
     await this.#waitForCatalog();
+    steps.end('feed');
     await this.#learnFromPeers();
+    steps.end('learn');
     this.#options.log.info('nodeStarted', {
       id,
       host,
       peerPort,
       dataCentre,
       version: this.#cluster.catalog.version,
+      ...steps.fields(),
       tookMs: Math.round(this.#clock.now() - this.#startedAt),
+      cpuMs: cpuMsOfProcess(),
+      isRegistered: this.#lease.isHeld,
     });
   }
 
@@ -379,6 +400,15 @@
     this.#peers.close();
   }
 
+  /** Reads this node's own record as soon as it is written: only then it is a home. */
+  async #noticeRegistration(): Promise<void> {
+    const until = this.#clock.now() + CATALOG_WAIT_MS;
+    while (!this.#lease.isHeld && this.#clock.now() < until) {
+      await this.#clock.sleep(CATALOG_POLL_MS);
+    }
+    this.#cluster.feed.pollSoon();
+  }
+
   async #waitForCatalog(): Promise<void> {
     const until = this.#clock.now() + CATALOG_WAIT_MS;
     while (this.#cluster.catalog.version === 0 && this.#clock.now() < until) {
@@ -491,11 +521,22 @@
         watch: this.#homeMonitor,
       }),
       release: (group, pin) => this.#release(group, pin),
-      observe: end => this.metrics.observe(end),
+      observe: end => this.#observe(end),
       priorityOf: route => this.#priorityOf(route),
     };
   }
 
+  #observe(end: FinishedStatement): void {
+    this.metrics.observe(end);
+    if (this.#hasServed || end.outcome !== 'done') return;
+    this.#hasServed = true;
+    this.#options.log.info('firstStatementServed', {
+      sinceStartMs: this.#startSteps.sinceStartMs(),
+      elapsedMs: Math.round(end.elapsedMs),
+      cpuMs: cpuMsOfProcess(),
+    });
+  }
+
   /** Returns `urgent` unless the route has the least urgent priority of all. */
   #priorityOf({priority}: Route): Priority {
     return priority < this.#cluster.leastUrgentPriority ? 'urgent' : 'ordinary';
@@ -520,3 +561,9 @@
       );
   }
 }
+
+/** CPU time of the process so far, of all threads. */
+function cpuMsOfProcess(): number {
+  const {user, system} = process.cpuUsage();
+  return Math.round((user + system) / 1_000);
+}
--- a/test/statements/relay.test.ts
+++ b/test/statements/relay.test.ts
@@ -215,3 +215,32 @@
     await done;
   });
 });
+
+// Nodes that restart together would repeat their listings at the same instant,
+// which may be what the store refused.
+it('spreads the repeated listings of nodes that started together', async () => {
+  const clock = new VirtualClock();
+  const repeatedAt = new Map<number, number>();
+  const stop = new AbortController();
+  const feeds = [0.1, 0.5, 0.9].map(share => {
+    const store = {
+      list: async () => {
+        if (clock.now() > 0 && !repeatedAt.has(share)) {
+          repeatedAt.set(share, clock.now());
+        }
+        throw new Error('refused');
+      },
+      changes: async () => ({events: [], asOf: at(1)}),
+    };
+    const log = createLogger('silent');
+    const onChange = () => {};
+    const random = () => share;
+    return new StoreFeed({store, clock, log, prefix: '', onChange, random});
+  });
+  const done = feeds.map(feed => feed.run(stop.signal));
+  await clock.advance(200);
+  expect([...repeatedAt.values()]).toEqual([20, 100, 180]);
+  stop.abort();
+  await clock.advance(2_000);
+  await Promise.all(done);
+});
