--- a/bench/pace-model.ts
+++ b/bench/pace-model.ts
@@ -303,7 +303,7 @@
     if (acquired.kind === 'refused') continue;
     database = Number(member.id);
     const {slot} = acquired;
-    const end = member.trackWork(slot.connection);
+    const end = member.trackWork(slot.connection, 'read');
     try {
       const [reply] = await slot.connection.run([], TIMEOUT_MS);
       member.recordReply(reply!);
--- a/src/home/certified-reads.ts
+++ b/src/home/certified-reads.ts
@@ -33,6 +33,7 @@
   noRight,
   recordBegin,
   readTimeoutMs,
+  workKindOf,
   type StatementAttempt,
 } from './statement-attempt.js';
 import {failedStatement, type StatementResult} from './statement-request.js';
@@ -45,6 +46,8 @@
  */
 const REMOTE_PENALTY_MS = 4;
 const CERTIFICATE_TIMEOUT_MS = 300;
+/** Kind of work of a certificate's fetch, by which its time is expected. */
+const CERTIFICATE_KIND = 'certificate';
 const NO_DATABASE_RETRY_MS = 200;
 /** Pause before databases that had no free slot are tried again. */
 const BUSY_PAUSE_MS = 20;
@@ -164,7 +167,7 @@
       return slot.release();
     const claim = claimPrimary(this.#ctx, member);
     const sentAt = clock.now();
-    const end = member.trackWork(slot.connection);
+    const end = member.trackWork(slot.connection, CERTIFICATE_KIND);
     try {
       const [begun] = await slot.connection.run(
         [{kind: 'begin', readOnly: false}, {kind: 'rollback'}],
@@ -358,7 +361,7 @@
     const {clock} = this.#ctx;
     const {values, statement} = attempt.req;
     const timeoutMs = readTimeoutMs(this.#ctx, attempt, member);
-    const endWork = member.trackWork(connection);
+    const endWork = member.trackWork(connection, workKindOf(attempt.req));
     const endClaim = claim?.begin();
     try {
       await connection.applySession(values, statement.prepared, timeoutMs);
--- a/src/home/execution-times.ts
+++ b/src/home/execution-times.ts
@@ -39,6 +39,11 @@
     return this.#averageMs;
   }
 
+  /** Whether a kind has been measured. */
+  hasMeasured(kind: string): boolean {
+    return this.#byKind.has(kind);
+  }
+
   /** Expected time of a kind; the average over all kinds before the first. */
   expectedMs(kind: string | undefined): number {
     if (kind === undefined) return this.#averageMs;
--- a/src/home/group-member.ts
+++ b/src/home/group-member.ts
@@ -11,6 +11,7 @@
 import type {StatementConnector} from '../statements/connection.js';
 import type {DatabaseReply, DatabaseState} from '../statements/types.js';
 import {TargetError} from '../targets/types.js';
+import {ExecutionTimes} from './execution-times.js';
 import {TeamConnection} from './team-connection.js';
 import {ConnectionPool} from './connection-pool.js';
 import {TeamConnections, type TeamSlotRequest} from './team-connections.js';
@@ -23,8 +24,6 @@
 const INITIAL_CONNECT_MS = 15;
 /** Weight of the newest sample in the average time to open a connection. */
 const CONNECT_SMOOTHING = 0.2;
-/** Weight of the newest sample in the average time of an answer. */
-const EXPECTED_SMOOTHING = 0.1;
 /** Timeout of a state query. */
 const STATE_TIMEOUT_MS = 300;
 
@@ -67,8 +66,8 @@
   #connectMs = INITIAL_CONNECT_MS;
   /** Failures that the pace was told of. */
   #paceFailures = 0;
-  /** Average time of an answer; the first one counts in full. */
-  #expectedMs: number | undefined;
+  /** Times of the answers, sessions' set-up included, for the pace. */
+  readonly #answerTimes = new ExecutionTimes();
   #hasFailedToConnect = false;
   /** When it accepted a connection again, maybe as a new process. */
   #returnedAt = -Infinity;
@@ -134,8 +133,11 @@
     return Math.min(slots, this.#options.pace?.limit(slots) ?? slots);
   }
 
-  /** Registers work sent to the database; call the result once it has ended. */
-  trackWork(connection: TeamConnection): () => void {
+  /**
+   * Registers work sent to the database; call the result once it has ended. The
+   * pace compares its time with that of its kind.
+   */
+  trackWork(connection: TeamConnection, workKind: string): () => void {
     const end = this.health.trackRequest();
     const startedAt = this.#options.clock.now();
     const failuresBefore = this.#paceFailures;
@@ -145,7 +147,8 @@
       this.#running.delete(connection);
       // What was sent before a failure says nothing about the lower level.
       if (this.#paceFailures !== failuresBefore) return;
-      this.#recordPacedAnswer(this.#options.clock.now() - startedAt);
+      const tookMs = this.#options.clock.now() - startedAt;
+      this.#recordPacedAnswer(tookMs, workKind);
     };
   }
 
@@ -298,11 +301,14 @@
     }
   }
 
-  #recordPacedAnswer(tookMs: number): void {
+  #recordPacedAnswer(tookMs: number, workKind: string): void {
     const {pace} = this.#options;
     if (pace === undefined) return;
-    const expectedMs = this.#expectedMs ?? tookMs;
-    this.#expectedMs = expectedMs + EXPECTED_SMOOTHING * (tookMs - expectedMs);
+    // The first answer of a kind has nothing to be compared with.
+    const expectedMs = this.#answerTimes.hasMeasured(workKind)
+      ? this.#answerTimes.expectedMs(workKind)
+      : tookMs;
+    this.#answerTimes.record(workKind, tookMs);
     const before = pace.limit(this.entry.slots);
     pace.recordAnswer(tookMs, expectedMs);
     if (pace.limit(this.entry.slots) > before) this.pool.resume();
--- a/src/home/primary-writes.ts
+++ b/src/home/primary-writes.ts
@@ -18,6 +18,7 @@
   rolledBackVerdict,
   runStatement,
   withholdCommit,
+  workKindOf,
   type StatementAttempt,
 } from './statement-attempt.js';
 import {failedStatement, type StatementResult} from './statement-request.js';
@@ -94,7 +95,7 @@
       slot.release();
       return {result: undefined, verdict: this.#lostPrimary()};
     }
-    const endWork = member.trackWork(slot.connection);
+    const endWork = member.trackWork(slot.connection, workKindOf(attempt.req));
     const endClaim = claim.begin();
     try {
       if (attempt.req.opens !== undefined) {
--- a/src/home/transaction-statements.ts
+++ b/src/home/transaction-statements.ts
@@ -14,6 +14,7 @@
   rolledBackVerdict,
   runStatement,
   withholdCommit,
+  workKindOf,
 } from './statement-attempt.js';
 import {
   failedStatement,
@@ -78,7 +79,10 @@
       transactions.rollBack(slot);
       return failedStatement(rolledBackVerdict(replaced(member)), 'failed');
     }
-    const endWork = member.trackWork(slot.connection);
+    const endWork = member.trackWork(
+      slot.connection,
+      `open ${workKindOf(req)}`,
+    );
     const endClaim = claim?.begin();
     try {
       const reply = await this.#runOn(req, member, slot.connection, deadlineAt);
