--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -6,11 +6,7 @@
 import {NodeDelay} from '../fleet/node-delay.js';
 import {peerAddressOf} from '../fleet/member-list.js';
 import type {FleetMember} from '../fleet/member-record.js';
-import {
-  decodeRelayReply,
-  encodeRelayRequest,
-  RELAY_METHOD,
-} from '../fleet/relay-messages.js';
+import {RELAY_METHOD} from '../fleet/relay-messages.js';
 import {PeerBackedStore} from '../fleet/peer-backed-store.js';
 import {RelayedStore} from '../fleet/relayed-store.js';
 import {StoreAccess} from '../fleet/store-access.js';
@@ -55,6 +51,7 @@
 import {NodeBudgets} from './node-budgets.js';
 import {ColdBudgets} from './cold-budgets.js';
 import {ClusterState, type ClusterStateChange} from './cluster-state.js';
+import {learnFromPeers} from './restore-learning.js';
 import {StartSteps} from './start-steps.js';
 import {WorkPlacement} from './work-placement.js';
 
@@ -71,9 +68,6 @@
 /** Maximum time that a starting node waits for the configuration. */
 const CATALOG_WAIT_MS = 1_500;
 const CATALOG_POLL_MS = 2;
-/** Nodes that a starting node asks for what a restored store may have lost. */
-const MAX_PEERS_ASKED = 3;
-const LEARN_TIMEOUT_MS = 300;
 /**
  * Time until a load balancer sends no new callers: two failed readiness probes,
  * one second apart.
@@ -364,7 +358,14 @@
     const {id, host, peerPort, dataCentre} = this.#options;
     await this.#waitForCatalog();
     steps.end('feed');
-    await this.#learnFromPeers();
+    await learnFromPeers({
+      self: id,
+      log: this.#options.log,
+      peers: this.#peers,
+      clusterState: this.#cluster,
+      era: this.#store.era,
+    });
+    this.#hasLearnt = true;
     steps.end('learn');
     this.#options.log.info('nodeStarted', {
       id,
@@ -462,43 +463,6 @@
     }
   }
 
-  /**
-   * Asks other nodes for what they know, if the store was ever restored from a
-   * copy: the copy may be older than what they have seen.
-   */
-  async #learnFromPeers(): Promise<void> {
-    const {id, log} = this.#options;
-    const others = this.#cluster.members.live().filter(peer => peer.id !== id);
-    const peers = this.#store.era > 0 ? others.slice(0, MAX_PEERS_ASKED) : [];
-    const options = {timeoutMs: LEARN_TIMEOUT_MS};
-    await Promise.all(
-      peers.map(async peer => {
-        const address = peerAddressOf(peer);
-        try {
-          const reply = await this.#peers.call(
-            address,
-            RELAY_METHOD,
-            encodeRelayRequest(),
-            options,
-          );
-          const changes = decodeRelayReply(reply);
-          if (changes !== undefined) this.#cluster.learn(changes);
-          const inForce = await this.#peers.call(
-            address,
-            EVACUATIONS_METHOD,
-            {},
-            options,
-          );
-          this.#cluster.evacuations.learn(inForce, this.#store.era);
-        } catch (err) {
-          // A node that has just started has nothing to tell either.
-          log.info('peerNotAsked', {peer: peer.id, message: String(err)});
-        }
-      }),
-    );
-    this.#hasLearnt = true;
-  }
-
   #scopeOf(peer: string): TrafficScope {
     const member = this.#cluster.members.find(peer);
     if (member === undefined) return 'unknown';
