--- a/src/home/connection-pool.ts
+++ b/src/home/connection-pool.ts
@@ -20,10 +20,7 @@
   type TransactionStatus,
 } from '../targets/types.js';
 import {notRun, type NotRun} from '../verdict/verdict.js';
-import {
-  ConnectionReservations,
-  UNPINNED_RESERVE,
-} from './connection-reservations.js';
+import {ConnectionReservations} from './connection-reservations.js';
 import {ExecutionTimes} from './execution-times.js';
 import {CANCELLED, type Priority} from './types.js';
 
@@ -362,8 +359,7 @@
 
   /** True if one more open transaction may reserve its connection. */
   get mayPin(): boolean {
-    const share = this.#options.connectionLimit();
-    return this.#pinned < Math.max(1, share - UNPINNED_RESERVE);
+    return this.#pinned < this.#reservations.limit;
   }
 
   /** Keeps a connection as idle if it can be reused, or else closes it. */
--- a/src/home/connection-reservations.ts
+++ b/src/home/connection-reservations.ts
@@ -8,7 +8,7 @@
 import type {Clock} from '../infra/clock.js';
 
 /** Connections that open transactions must leave for other work. */
-export const UNPINNED_RESERVE = 2;
+const UNPINNED_RESERVE = 2;
 /** Part of the reservable connections that one team may reserve. */
 const MAX_TEAM_SHARE = 0.5;
 /** Assumed time for which a transaction is open, until measured. */
@@ -50,9 +50,14 @@
     this.#options = options;
   }
 
+  /** How many connections open transactions may reserve in all. */
+  get limit(): number {
+    return Math.max(1, this.#options.connectionLimit() - UNPINNED_RESERVE);
+  }
+
   /** Returns whether a team may reserve one more connection. */
   mayReserve(team: string): boolean {
-    const limit = this.#limit;
+    const {limit} = this;
     const teamLimit = Math.max(1, Math.floor(limit * MAX_TEAM_SHARE));
     return this.#all.count < limit && this.#heldBy(team).count < teamLimit;
   }
@@ -76,17 +81,13 @@
    * take, so the age of the reservations counts as well as the average.
    */
   nextFreeMs(team: string): number {
-    const isFull = this.#all.count >= this.#limit;
+    const isFull = this.#all.count >= this.limit;
     const {count, startedSumMs} = isFull ? this.#all : this.#heldBy(team);
     if (count === 0) return MIN_RETRY_MS;
     const ageMs = this.#options.clock.now() - startedSumMs / count;
     return Math.max(MIN_RETRY_MS, Math.max(this.#heldMs, ageMs) / count);
   }
 
-  get #limit(): number {
-    return Math.max(1, this.#options.connectionLimit() - UNPINNED_RESERVE);
-  }
-
   #heldBy(team: string): Held {
     return this.#byTeam.get(team) ?? NONE;
   }
--- a/src/home/statement-attempt.ts
+++ b/src/home/statement-attempt.ts
@@ -24,8 +24,6 @@
 const MIN_READ_TIMEOUT_MS = 300;
 /** Timeout of a read as a multiple of its expected time at the database. */
 const READ_TIMEOUT_FACTOR = 8;
-/** Retry delay while open transactions hold the connections. */
-const TRANSACTION_RETRY_MS = 50;
 /** Retry delay without the right to the primary. */
 const NO_RIGHT_RETRY_MS = 200;
 
@@ -320,15 +318,6 @@
   return notRun('noPrimary', message, primaryRetryMs());
 }
 
-/** Creates the refusal of a transaction for lack of connections. */
-export function tooManyTransactionsVerdict(databaseId: string): Verdict {
-  return notRun(
-    'overloaded',
-    `${databaseId} has as many open transactions as its connections allow`,
-    TRANSACTION_RETRY_MS,
-  );
-}
-
 /** Creates the verdict of a transaction that failed before its commit. */
 export function rolledBackVerdict(verdict: Verdict): Verdict {
   const reason = verdict.kind === 'done' ? 'it was lost' : verdict.message;
