--- a/src/node/cold-budgets.ts
+++ b/src/node/cold-budgets.ts
@@ -15,12 +15,12 @@
 import {BudgetHolder} from '../quota/budget-holder.js';
 import {BudgetOwner} from '../quota/budget-owner.js';
 import {RetrySpacing} from '../quota/retry-spacing.js';
-import {
-  decodeTokenRequest,
-  type QuotaDecision,
-  type RateLimits,
-  type TokenReply,
-  type TokenRequest,
+import {createTokenHandler} from '../quota/token-handler.js';
+import type {
+  QuotaDecision,
+  RateLimits,
+  TokenReply,
+  TokenRequest,
 } from '../quota/types.js';
 import type {Logger} from '../telemetry/log.js';
 import type {ClusterState} from './cluster-state.js';
@@ -110,14 +110,7 @@
   /** Handlers by peer method. */
   get handlers(): ReadonlyMap<string, PeerHandler> {
     return new Map<string, PeerHandler>([
-      [
-        TAKE_METHOD,
-        async (body, {from}) => {
-          const req = decodeTokenRequest(body);
-          if (req === undefined) throw new Error('malformed token request');
-          return this.serve(from, req);
-        },
-      ],
+      [TAKE_METHOD, createTokenHandler(this)],
     ]);
   }
 
--- a/src/node/node-budgets.ts
+++ b/src/node/node-budgets.ts
@@ -6,11 +6,8 @@
 import type {PeerCaller, PeerHandler} from '../peers/types.js';
 import {BudgetHolder} from '../quota/budget-holder.js';
 import {BudgetOwner, type BudgetRole} from '../quota/budget-owner.js';
-import {
-  decodeTokenRequest,
-  type TokenReply,
-  type TokenRequest,
-} from '../quota/types.js';
+import {createTokenHandler} from '../quota/token-handler.js';
+import type {TokenReply, TokenRequest} from '../quota/types.js';
 import type {Logger} from '../telemetry/log.js';
 import type {ClusterState} from './cluster-state.js';
 import type {WorkPlacement} from './work-placement.js';
@@ -80,14 +77,7 @@
   /** Handlers by peer method. */
   get handlers(): ReadonlyMap<string, PeerHandler> {
     return new Map<string, PeerHandler>([
-      [
-        TAKE_METHOD,
-        async (body, {from}) => {
-          const req = decodeTokenRequest(body);
-          if (req === undefined) throw new Error('malformed token request');
-          return this.#owner.serve(from, req);
-        },
-      ],
+      [TAKE_METHOD, createTokenHandler(this.#owner)],
     ]);
   }
 
--- a/src/pace/cold-limit.ts
+++ b/src/pace/cold-limit.ts
@@ -6,6 +6,7 @@
  * requests that it may get in any second.
  */
 import type {QuotaDecision, RateLimits} from '../quota/types.js';
+import {BURST_REFILL_RATIO} from '../quota/window-budget.js';
 
 /** Length of the window to which the bound applies. */
 export const COLD_WINDOW_MS = 1_000;
@@ -20,8 +21,6 @@
 const MIN_BURST = 2;
 /** Burst as a part of the rate, where the bound leaves room for it. */
 const BURST_RATIO = 0.1;
-/** The budget refills this part of its burst in each window besides the rate. */
-const BURST_REFILL_RATIO = 0.5;
 
 /** How much a cold database may get beyond its rate, as the operators state. */
 export interface ColdTolerance {
--- a/src/quota/retry-spacing.ts
+++ b/src/quota/retry-spacing.ts
@@ -17,7 +17,7 @@
  * Computes the retry delays of one team's refused callers.
  *
  * @example
- * const times = new ReturnTimes(clock);
+ * const spacing = new RetrySpacing(clock);
  * refuse(spacing.nextDelayMs(20, 40));
  */
 export class RetrySpacing {
--- a/src/quota/window-budget.ts
+++ b/src/quota/window-budget.ts
@@ -22,7 +22,7 @@
  * Part of the burst that is refilled in each window. The rest covers tokens that
  * holders have not spent yet, and times when two owners overlap.
  */
-const BURST_REFILL_RATIO = 0.5;
+export const BURST_REFILL_RATIO = 0.5;
 /** Part of the slack that is granted at once; the rest is refilled. */
 const SLACK_CAPACITY_RATIO = 0.3;
 
