--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -10,7 +10,6 @@
   type Catalog,
   type AnnouncedDatabase,
 } from '../catalog/types.js';
-import {rankPriorities} from '../catalog/priority-ranks.js';
 import type {WaitEstimate} from '../admission/wait-estimate.js';
 import type {FailoverLease, FailoverOrders} from '../groups/failover-lease.js';
 import type {HandoverPort} from '../groups/primary-handover.js';
@@ -100,6 +99,8 @@
   readonly dataCentre: string;
   readonly connector: StatementConnector;
   readonly catalog: () => Catalog;
+  /** Number of different priorities that routes have. */
+  readonly priorityCount: () => number;
   readonly quota: Pick<BudgetHolder, 'admit'>;
   readonly failoverLease: FailoverLease;
   readonly orders: FailoverOrders;
@@ -623,8 +624,7 @@
    * priorities are configured; no lower, as reads at replicas depend on it.
    */
   get #certificatePriority(): Priority {
-    const {routes} = this.#options.catalog();
-    return Math.min(1, Math.max(0, rankPriorities(routes.values()).size - 1));
+    return Math.min(1, Math.max(0, this.#options.priorityCount() - 1));
   }
 
   /** Fetches a certificate when no statement at the primary brought one. */
--- a/src/node/cluster-state.ts
+++ b/src/node/cluster-state.ts
@@ -185,6 +185,11 @@
     return this.#priorityRanks.get(priority) ?? 0;
   }
 
+  /** Number of different priorities that routes have. */
+  get priorityCount(): number {
+    return this.#priorityRanks.size;
+  }
+
   /** True if a process that started before this one may still be running. */
   get hasEarlierProcesses(): boolean {
     return this.#earlierProcesses.size > 0;
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -503,6 +503,7 @@
       connector,
       orders,
       catalog: () => this.#cluster.catalog,
+      priorityCount: () => this.#cluster.priorityCount,
       entries: () => this.#cluster.entries,
       quota: this.#budgets.holder,
       failoverLease: new FailoverLease({
