--- a/review/common/database.mjs
+++ b/review/common/database.mjs
@@ -91,6 +91,7 @@
   #options;
   #server;
   #running = 0;
+  #waiting = [];
   #connections = new Set();
 
   constructor(id, group, options) {
@@ -203,11 +204,15 @@
     const isStatus = /^(STATUS|STEPDOWN)\b/.test(text);
     if (!WORK.test(text) && !isStatus) return this.#setUp(connection, text);
     if (connection.state === 'E') return 'ERROR MALFORMED';
-    if (this.#running >= this.#options.slots) {
-      if (isStatus) this.busyStates += 1;
-      return 'ERROR BUSY';
-    }
-    this.#running += 1;
+    const {slots, queue = 0} = this.#options;
+    if (this.#running >= slots) {
+      if (this.#waiting.length >= queue) {
+        if (isStatus) this.busyStates += 1;
+        return 'ERROR BUSY';
+      }
+      // Takes over the slot of the statement that ends next.
+      await new Promise(resolve => this.#waiting.push(resolve));
+    } else this.#running += 1;
     try {
       if (!isStatus) await sleep(this.#workMsOf(text));
       if (isStatus) {
@@ -216,7 +221,9 @@
       }
       return await this.#run(connection, id, text);
     } finally {
-      this.#running -= 1;
+      const next = this.#waiting.shift();
+      if (next === undefined) this.#running -= 1;
+      else next();
     }
   }
 
