--- a/standins/lines/database.ts
+++ b/standins/lines/database.ts
@@ -207,6 +207,7 @@
     if (this.faults.unresponsive || this.faults.loseAnswers) return;
     connection.socket.write(
       `${answer}\r\nREADY ${connection.state} ${this.#position}\r\n`,
+      'latin1',
     );
   }
 
@@ -225,7 +226,7 @@
   }
 
   #run(connection: Connection, id: string, text: string): string {
-    const after = /^AFTER (\d+)\.(\d+) (.*)$/.exec(text);
+    const after = /^AFTER (\d+)\.(\d+) (.*)$/s.exec(text);
     if (after !== null) {
       const [, term, number, rest = ''] = after;
       const isBehind =
