--- a/test/platform/database-connector.test.ts
+++ b/test/platform/database-connector.test.ts
@@ -47,4 +47,33 @@
     ]);
     connection.close();
   });
+
+  // Lines left over from before were taken for the answer of the next statement.
+  it('closes instead of taking bytes that nothing asked for as an answer', async () => {
+    for (const extra of ['DONE old\r\nREADY I 1.1\r\n', 'ERROR BU']) {
+      const {connecting, received} = await connectTo([
+        'READY I 1.1\r\n',
+        `DONE new\r\nREADY I 1.1\r\n${extra}`,
+        'DONE newer\r\nREADY I 1.1\r\n',
+      ]);
+      const connection = await connecting;
+      await connection.run([READ_A]);
+      const second = connection.run([READ_A]);
+      await expect(second).rejects.toMatchObject({kind: 'notSent'});
+      expect(connection.usable).toBe(false);
+      expect(received).toHaveLength(2);
+    }
+  });
+
+  it.each([
+    ['a row after the end', 'DONE s\r\nROW x\r\nREADY I 1.1\r\n'],
+    ['two ends', 'ERROR BUSY\r\nDONE s\r\nREADY I 1.1\r\n'],
+    ['no end', 'READY I 1.1\r\n'],
+  ])('fails on an answer with %s', async (_, answer) => {
+    const {connecting} = await connectTo(['READY I 1.1\r\n', answer]);
+    const connection = await connecting;
+    const running = connection.run([READ_A]);
+    await expect(running).rejects.toMatchObject({kind: 'lost'});
+    expect(connection.usable).toBe(false);
+  });
 });
