--- a/test/platform/database-connector.test.ts
+++ b/test/platform/database-connector.test.ts
@@ -1,6 +1,7 @@
 import {createServer, type AddressInfo, type Server} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
 import {DatabaseConnector} from '../../platform/database-connector.js';
+import {TargetError} from '../../src/targets/types.js';
 
 describe('the connection to a database', () => {
   let server: Server | undefined;
@@ -76,4 +77,24 @@
     await expect(running).rejects.toMatchObject({kind: 'lost'});
     expect(connection.usable).toBe(false);
   });
+
+  // Written as one byte each, these two characters are CR and LF.
+  it('sends the name of a team as UTF-8', async () => {
+    const {connecting, received} = await connectTo(
+      ['READY I 1.1\r\n'],
+      '\u010d\u010aQUERY',
+    );
+    (await connecting).close();
+    const sent = Buffer.from(received.join(''), 'latin1').toString('utf8');
+    expect(sent).toBe('START g \u010d\u010aQUERY d1\r\n');
+  });
+
+  it('sends no START whose fields a database would read otherwise', async () => {
+    for (const team of ['a b', 'a\r\nQUERY - WRITE x y', '']) {
+      const {connecting, received} = await connectTo([], team);
+      await expect(connecting).rejects.toThrow(TargetError);
+      await expect(connecting).rejects.toThrow(/team/);
+      expect(received).toEqual([]);
+    }
+  });
 });
--- a/test/platform/sessions.test.ts
+++ b/test/platform/sessions.test.ts
@@ -1,6 +1,6 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import {LineClient} from './line-client.js';
-import {Platform} from './fixture.js';
+import {Platform, waitUntil} from './fixture.js';
 
 let platform: Platform;
 afterEach(() => platform.stop());
@@ -31,6 +31,30 @@
     expect(garbage.hello).toMatch(/^ERROR MALFORMED/);
   });
 
+  // Their bytes were read and written as latin1.
+  it('find a route, a key and a team whose names are not ASCII', async () => {
+    platform = await Platform.start(1);
+    const config = platform.store.get('op/config') ?? '';
+    const renamed = config
+      .replaceAll('"now"', '"agenda-día"')
+      .replaceAll('red-key', 'llave-ñ')
+      .replaceAll('"red"', '"señor-\u010d\u010a"')
+      .replace('"version":1', '"version":2');
+    platform.store.put('op/config', renamed);
+    const {port, node} = platform.nodes[0]!;
+    await waitUntil(() => node.gauges.catalogVersion() === 2);
+    const unknown = await LineClient.open(port, 'agenda-díb llave-ñ');
+    const quoted = Buffer.from(unknown.hello, 'latin1').toString('utf8');
+    expect(quoted).toMatch(/^ERROR NODB .*"agenda-díb"/);
+    const client = await platform.session('agenda-día llave-ñ');
+    const {end} = await client.query('WRITE a 1');
+    expect(end).toMatch(/^DONE claims-0/);
+    const team = platform.group.primary.runs.at(-1)?.team ?? '';
+    expect(Buffer.from(team, 'latin1').toString('utf8')).toBe(
+      'señor-\u010d\u010a',
+    );
+  });
+
   it('need no key on a public route', async () => {
     platform = await Platform.start(1);
     const client = await platform.session('open');
