--- a/src/home/certified-home.ts
+++ b/src/home/certified-home.ts
@@ -274,6 +274,11 @@
     this.#transactions.release(pin);
   }
 
+  /** Rolls back the transactions that run no statement. */
+  rollBackTransactions(): void {
+    this.#transactions.rollBackAll();
+  }
+
   /** Adds a database or updates it from its announcement. */
   applyDatabase(entry: AnnouncedDatabase): void {
     this.#missingSince.delete(entry.id);
--- a/src/home/open-transactions.ts
+++ b/src/home/open-transactions.ts
@@ -71,9 +71,14 @@
     void this.#sweep();
   }
 
-  /** Rolls all transactions back. */
+  /** Rolls all transactions back and stops the idle timeout. */
   stop(): void {
     this.#stopping.abort();
+    this.rollBackAll();
+  }
+
+  /** Rolls all transactions back. */
+  rollBackAll(): void {
     for (const pin of [...this.#idle.keys()]) this.release(pin);
   }
 
--- a/src/home/statement-homes.ts
+++ b/src/home/statement-homes.ts
@@ -11,6 +11,7 @@
 import {CertifiedHome, type CertifiedHomeOptions} from './certified-home.js';
 import type {HomeRunner, Sink} from './home-forwarder.js';
 import {hasStrings} from './messages.js';
+import {rolledBackVerdict} from './statement-attempt.js';
 import {decodeRequest, encodeResult} from './statement-codec.js';
 import {
   failedStatement,
@@ -19,6 +20,7 @@
   type StatementResult,
 } from './statement-request.js';
 
+const CLOSING = notRun('shuttingDown', 'this home is closing', 0);
 const UPDATE_PERIOD_MS = 500;
 /** An idle home that another node should serve is closed after this. */
 const CLOSE_IDLE_MS = 5_000;
@@ -57,6 +59,7 @@
   readonly #homes = new Map<string, CertifiedHome>();
   readonly #stopping = new AbortController();
   #refusesNew = false;
+  #refusesTransactions = false;
 
   constructor(options: StatementHomesOptions) {
     this.#options = options;
@@ -116,6 +119,12 @@
     this.#refusesNew = true;
   }
 
+  /** Rolls back open transactions, and refuses their further statements. */
+  endTransactions(): void {
+    this.#refusesTransactions = true;
+    for (const home of this.#homes.values()) home.rollBackTransactions();
+  }
+
   stop(): void {
     this.#stopping.abort();
     for (const home of this.#homes.values()) home.stop();
@@ -137,7 +146,11 @@
     signal: AbortSignal,
   ): Promise<StatementResult> {
     if (this.#refusesNew && req.pin === undefined) {
-      return failedStatement(notRun('shuttingDown', 'this home is closing', 0));
+      return failedStatement(CLOSING);
+    }
+    if (this.#refusesTransactions && req.pin !== undefined) {
+      this.release(req.group, req.pin);
+      return failedStatement(rolledBackVerdict(CLOSING), 'failed');
     }
     return this.#ensureHome(req.group).execute(req, signal);
   }
--- a/src/node/statement-node.ts
+++ b/src/node/statement-node.ts
@@ -52,6 +52,7 @@
 import {ColdBudgets} from './cold-budgets.js';
 import {ClusterState, type ClusterStateChange} from './cluster-state.js';
 import {learnFromPeers} from './restore-learning.js';
+import {Shutdown, type CallerSessions} from './shutdown.js';
 import {StartSteps} from './start-steps.js';
 import {WorkPlacement} from './work-placement.js';
 
@@ -68,16 +69,7 @@
 /** Maximum time that a starting node waits for the configuration. */
 const CATALOG_WAIT_MS = 1_500;
 const CATALOG_POLL_MS = 2;
-/**
- * Time until a load balancer sends no new callers: two failed readiness probes,
- * one second apart.
- */
-const DEREGISTRATION_MS = 2_600;
-/** Limits `DEREGISTRATION_MS` to this part of the grace period. */
-const DEREGISTRATION_RATIO = 0.45;
-const STOP_POLL_MS = 50;
-/** End of the grace period that is reserved for closing open sessions. */
-const CLOSE_RESERVE_MS = 500;
+const STOP_TIMEOUT_MS = 50;
 
 /** Settings and dependencies of a node. */
 export interface StatementNodeOptions {
@@ -122,18 +114,6 @@
   readonly startSteps?: StartSteps;
 }
 
-/** The caller sessions of this node, as the shutdown controls them. */
-export interface CallerSessions {
-  /** Number of open sessions. */
-  readonly open: number;
-  /** Closes sessions without a running request or an open transaction. */
-  closeIdle(): void;
-  /** Rolls back the open transactions. */
-  rollBackTransactions(): void;
-  /** Stops accepting callers and closes every session. */
-  close(): void;
-}
-
 /** Result of opening a session. */
 export type SessionOpening =
   | {readonly kind: 'opened'; readonly session: StatementSession}
@@ -170,10 +150,10 @@
   readonly #homes: StatementHomes;
   readonly #homeMonitor: HomeMonitor;
   readonly #sessionContext: SessionContext;
+  readonly #shutdown: Shutdown;
   readonly #startedAt = this.#clock.now();
   readonly #startSteps: StartSteps;
   #hasServed = false;
-  #isLeaving = false;
   /** Whether the node has asked others for what the store may have lost. */
   #hasLearnt = false;
 
@@ -286,6 +266,14 @@
       ? this.#createLoadSharing()
       : undefined;
     this.#homes = this.#createHomes();
+    this.#shutdown = new Shutdown({
+      clock,
+      log,
+      graceMs: options.graceMs,
+      homes: this.#homes,
+      announce: () => this.#lease.announceLeaving(),
+      stop: () => this.stop(),
+    });
     this.#sessionContext = this.#createSessionContext();
     this.#peerServer = new PeerServer({
       host,
@@ -325,7 +313,8 @@
   get isReady(): boolean {
     const isFresh = this.#hasFreshCopy;
     const hasCatalog = this.#cluster.catalog.version > 0;
-    return !this.#isLeaving && this.#hasLearnt && isFresh && hasCatalog;
+    const isServing = this.#shutdown.phase === 'serving';
+    return isServing && this.#hasLearnt && isFresh && hasCatalog;
   }
 
   get #hasFreshCopy(): boolean {
@@ -382,6 +371,8 @@
 
   /** Opens a session for a caller, or returns the reason for the refusal. */
   openSession(credentials: Credentials): SessionOpening {
+    const refusal = this.#shutdown.refuse();
+    if (refusal !== undefined) return {kind: 'refused', verdict: refusal};
     const access = this.#sessionContext.access.check(credentials);
     if (access.kind === 'refused') {
       const {verdict, basis} = access;
@@ -398,40 +389,13 @@
   }
 
   /**
-   * Leaves the fleet without interrupting a request. Homes move to other nodes,
-   * requests may finish, and transactions that are still open after half of the
-   * grace period are rolled back. Then stops.
+   * Leaves the fleet without interrupting a request, then stops. Further calls
+   * join the first one.
+   *
+   * @param trigger what requested it, for the log
    */
-  async shutDown(callers: CallerSessions): Promise<void> {
-    if (this.#isLeaving) return;
-    const {log, graceMs} = this.#options;
-    const clock = this.#clock;
-    this.#isLeaving = true;
-    const startedAt = clock.now();
-    log.info('shutdownStarted', {sessions: callers.open});
-    await this.#lease
-      .announceLeaving()
-      .catch((err: unknown) =>
-        log.warn('leavingNotAnnounced', {message: String(err)}),
-      );
-    this.#homes.refuseNew();
-    const deregisteredAt =
-      startedAt + Math.min(DEREGISTRATION_MS, graceMs * DEREGISTRATION_RATIO);
-    const transactionsEndAt = startedAt + graceMs / 2;
-    const endAt = startedAt + graceMs - CLOSE_RESERVE_MS;
-    while (clock.now() < endAt) {
-      if (clock.now() >= transactionsEndAt) callers.rollBackTransactions();
-      if (clock.now() >= deregisteredAt) callers.closeIdle();
-      const isIdle = callers.open === 0 && this.#homes.active === 0;
-      if (isIdle && clock.now() >= deregisteredAt) break;
-      await clock.sleep(STOP_POLL_MS);
-    }
-    callers.close();
-    await this.stop();
-    log.info('shutdownFinished', {
-      tookMs: Math.round(clock.now() - startedAt),
-      sessions: callers.open,
-    });
+  shutDown(callers: CallerSessions, trigger = 'request'): Promise<void> {
+    return this.#shutdown.begin(callers, trigger);
   }
 
   /** Stops immediately, without waiting for running work. */
@@ -442,7 +406,7 @@
       (err: unknown) =>
         this.#options.log.warn('leaseNotEnded', {message: String(err)}),
     );
-    await Promise.race([end, this.#clock.sleep(STOP_POLL_MS)]);
+    await Promise.race([end, this.#clock.sleep(STOP_TIMEOUT_MS)]);
     await this.#peerServer.close(0);
     this.#peers.close();
   }
@@ -562,6 +526,7 @@
       release: (group, pin) => this.#release(group, pin),
       observe: end => this.#observe(end),
       priorityOf: route => this.#cluster.priorityRankOf(route),
+      refuse: () => this.#shutdown.refuse(),
     };
   }
 
--- a/src/sessions/statement-session.ts
+++ b/src/sessions/statement-session.ts
@@ -3,9 +3,10 @@
 import type {Route} from '../catalog/types.js';
 import type {SessionValues} from '../home/team-connection.js';
 import type {HomeForwarder} from '../home/home-forwarder.js';
-import type {
-  StatementRequest,
-  StatementResult,
+import {
+  failedStatement,
+  type StatementRequest,
+  type StatementResult,
 } from '../home/statement-request.js';
 import type {Priority} from '../home/types.js';
 import type {Clock} from '../infra/clock.js';
@@ -19,7 +20,12 @@
 import type {TransactionStatus} from '../targets/types.js';
 import type {Logger} from '../telemetry/log.js';
 import type {FinishedStatement} from '../telemetry/node-metrics.js';
-import {notRun, type Verdict} from '../verdict/verdict.js';
+import {
+  mayHaveRun,
+  notRun,
+  type NotRun,
+  type Verdict,
+} from '../verdict/verdict.js';
 import type {AccessDecision, AccessGate, Credentials} from './access.js';
 
 /** 48 bits keep the sessions of several days distinct in the logs. */
@@ -27,6 +33,20 @@
 /** Maximum number of values, and of prepared statements, of one session. */
 const MAX_SESSION_ENTRIES = 1_000;
 
+const ROLLED_BACK = notRun(
+  'targetUnavailable',
+  'the transaction has been rolled back; begin it again',
+  0,
+);
+const FAILED = notRun(
+  'badRequest',
+  'the transaction has failed; end it by ROLLBACK',
+);
+const GIVEN_UP = mayHaveRun(
+  'homeLost',
+  'this node shut down while the statement ran',
+);
+
 /** The outcome of one command, for the caller. */
 export type SessionReply =
   | {
@@ -59,6 +79,8 @@
   readonly observe: (end: FinishedStatement) => void;
   /** Rank of a route's priority among those configured. */
   readonly priorityOf: (route: Route) => Priority;
+  /** Refuses new work while the node shuts down; undefined if it is served. */
+  readonly refuse?: () => NotRun | undefined;
 }
 
 /** The caller's open transaction. */
@@ -71,6 +93,8 @@
   /** Total run time of its statements, without the time between them. */
   spentMs: number;
   isFailed: boolean;
+  /** Whether it failed between two statements, and no reply has said so yet. */
+  isUnreported: boolean;
 }
 
 /**
@@ -92,6 +116,8 @@
   readonly #positions = new Map<string, Position>();
   #values: SessionValues = {};
   #transaction: Transaction | undefined;
+  /** Ends the wait for the running statement. */
+  #giveUp: (() => void) | undefined;
 
   constructor(ctx: SessionContext, credentials: Credentials) {
     this.#ctx = ctx;
@@ -108,11 +134,14 @@
     command: SessionCommand,
     signal: AbortSignal,
   ): Promise<SessionReply> {
-    if (this.#transaction?.isFailed && !endsTransaction(command)) {
-      return this.#failed(
-        notRun('badRequest', 'the transaction has failed; end it by ROLLBACK'),
-      );
+    const open = this.#transaction;
+    if (open?.isFailed && !endsTransaction(command)) {
+      const verdict = open.isUnreported ? ROLLED_BACK : FAILED;
+      open.isUnreported = false;
+      return this.#failed(verdict);
     }
+    const refusal = this.#refusalOf(command);
+    if (refusal !== undefined) return this.#refuseToStart(refusal, command);
     switch (command.kind) {
       case 'run':
         return this.#run(command.statement, signal);
@@ -142,10 +171,43 @@
 
   /** Rolls back an open transaction; the caller's next command reports it. */
   abortTransaction(): void {
+    if (this.#transaction === undefined || this.#transaction.isFailed) return;
+    this.#failTransaction();
+    this.#transaction.isUnreported = true;
+  }
+
+  #failTransaction(): void {
     this.#releasePin();
     if (this.#transaction !== undefined) this.#transaction.isFailed = true;
   }
 
+  /**
+   * Answers the running statement as unknown, since the node stops before it
+   * ends. Its late outcome is ignored.
+   */
+  giveUp(): void {
+    this.#giveUp?.();
+  }
+
+  /** The refusal of a command that would start work while the node stops. */
+  #refusalOf(command: SessionCommand): NotRun | undefined {
+    const isEnd =
+      this.#transaction !== undefined && command.kind === 'rollback';
+    if (isEnd || this.#transaction?.isFailed) return undefined;
+    return this.#ctx.refuse?.();
+  }
+
+  /** Refuses a command, and rolls back the transaction that is open. */
+  #refuseToStart(refusal: NotRun, command: SessionCommand): SessionReply {
+    if (this.#transaction === undefined) {
+      return {...this.#failed(refusal), isFinal: true};
+    }
+    this.#failTransaction();
+    if (endsTransaction(command)) return this.#refuseCommit();
+    const message = `the transaction was rolled back: ${refusal.message}`;
+    return this.#failed(notRun('targetUnavailable', message, 0));
+  }
+
   #begin(readOnly: boolean): SessionReply {
     if (this.#transaction !== undefined) {
       return this.#failed(
@@ -162,6 +224,7 @@
       pin: undefined,
       spentMs: 0,
       isFailed: false,
+      isUnreported: false,
     };
     return this.#local();
   }
@@ -227,11 +290,21 @@
       open?.route ?? access.route,
       access.team,
     );
-    const result = await this.#ctx.forwarder.execute(req, () => {}, signal);
+    const result = await this.#executeOrGiveUp(req, signal);
     if (open !== undefined) open.spentMs += this.#ctx.clock.now() - startedAt;
     return this.#finish(req, result, startedAt);
   }
 
+  #executeOrGiveUp(
+    req: StatementRequest,
+    signal: AbortSignal,
+  ): Promise<StatementResult> {
+    return new Promise((resolve, reject) => {
+      this.#giveUp = () => resolve(failedStatement(GIVEN_UP));
+      this.#ctx.forwarder.execute(req, () => {}, signal).then(resolve, reject);
+    });
+  }
+
   #requestFor(
     statement: CallerStatement,
     route: Route,
@@ -316,7 +389,7 @@
     const wasFailed = this.#transaction !== undefined;
     this.#transaction = undefined;
     const verdict = wasFailed
-      ? notRun('targetUnavailable', 'the transaction has been rolled back', 0)
+      ? ROLLED_BACK
       : notRun('badRequest', 'no transaction is open');
     return this.#failed(verdict);
   }
@@ -327,7 +400,7 @@
     request: string | undefined,
   ): SessionReply {
     const {log} = this.#ctx;
-    this.abortTransaction();
+    this.#failTransaction();
     log.info('accessRefused', {
       request,
       session: this.id,
@@ -375,7 +448,9 @@
     return {kind: 'local', transaction: this.transaction};
   }
 
-  #failed(verdict: Exclude<Verdict, {kind: 'done'}>): SessionReply {
+  #failed(
+    verdict: Exclude<Verdict, {kind: 'done'}>,
+  ): SessionReply & {kind: 'failed'} {
     return {
       kind: 'failed',
       verdict,
--- a/test/platform/line-client.ts
+++ b/test/platform/line-client.ts
@@ -71,6 +71,15 @@
     return this.#lines.next();
   }
 
+  /** Stops reading until `resume`. */
+  pause(): void {
+    this.#socket.pause();
+  }
+
+  resume(): void {
+    this.#socket.resume();
+  }
+
   close(): void {
     this.#socket.destroy();
   }
