--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -77,7 +77,7 @@
     }
   }
 
-  signal(name: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT'): void {
+  signal(name: 'SIGKILL' | 'SIGTERM' | 'SIGINT' | 'SIGSTOP' | 'SIGCONT'): void {
     this.#child.kill(name);
   }
 
--- a/src/cli/node.ts
+++ b/src/cli/node.ts
@@ -46,8 +46,9 @@
       },
     );
   };
-  process.once('SIGTERM', shutDown);
-  process.once('SIGINT', shutDown);
+  // Further signals join the shutdown: without a listener they end the process.
+  process.on('SIGTERM', shutDown);
+  process.on('SIGINT', shutDown);
   process.on('unhandledRejection', reason =>
     log.error('unhandledRejection', {
       message: reason instanceof Error ? (reason.stack ?? '') : String(reason),
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -68,6 +68,7 @@
   readonly #callers: CallerServer;
   readonly #admin: AdminServer;
   #draining = false;
+  #shutdown: Promise<void> | undefined;
 
   constructor(settings: NodeSettings, log: Logger) {
     this.#settings = settings;
@@ -120,10 +121,15 @@
 
   /**
    * Shuts down without interrupting a request: announces the departure, drains
-   * sessions and homes, returns budget shares, then closes.
+   * sessions and homes, returns budget shares, then closes. Further calls join
+   * the first one.
    */
-  async shutDown(): Promise<void> {
-    if (this.#draining) return;
+  shutDown(): Promise<void> {
+    this.#shutdown ??= this.#shutDown();
+    return this.#shutdown;
+  }
+
+  async #shutDown(): Promise<void> {
     this.#draining = true;
     const {drainMs} = this.#settings;
     const until = this.#clock.now() + drainMs;
--- a/test/fleet/drain.test.ts
+++ b/test/fleet/drain.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {connect, findHome, insert, startFleet} from './fixture.js';
+import {connect, findHome, insert, sleep, startFleet} from './fixture.js';
 
 const DRAIN_MS = 1_500;
 /** Maximum time for the rest of a shutdown: notifying peers and returning budget shares. */
@@ -28,3 +28,20 @@
   expect(elapsedMs).toBeGreaterThanOrEqual(DRAIN_MS);
   expect(elapsedMs).toBeLessThan(DRAIN_MS + MAX_OTHER_SHUTDOWN_MS);
 });
+
+// The second signal ended the process at once.
+test('a shutdown that is requested again cuts no transaction', async () => {
+  const fleet = await startFleet({env: {ZINNIA_DRAIN_MS: String(DRAIN_MS)}});
+  const [node] = fleet.nodes;
+  const client = await connect(fleet, node!);
+  await client.query('BEGIN');
+  await insert(client, 'before');
+  for (const signal of ['SIGTERM', 'SIGTERM', 'SIGINT'] as const) {
+    node!.process.signal(signal);
+    await sleep(DRAIN_MS / 6);
+  }
+  await insert(client, 'after');
+  await client.query('COMMIT');
+  await node!.process.exited();
+  expect(node!.process.log).toMatch(/event=shutdownFinished .*cut=0/);
+});
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -5,7 +5,7 @@
 import {join} from 'node:path';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import {LineClient} from './line-client.js';
-import {Platform, waitUntil} from './fixture.js';
+import {Platform, sleep, waitUntil} from './fixture.js';
 
 const DIR = mkdtempSync(join(tmpdir(), 'zinnia-'));
 const PROGRAM = join(DIR, 'zinnia-platform.mjs');
@@ -141,4 +141,62 @@
     child.kill('SIGTERM');
     await once(child, 'exit');
   });
+
+  // A second signal, or a SIGINT, ended the process at once.
+  it.each([
+    {signals: ['SIGINT']},
+    {signals: ['SIGTERM', 'SIGTERM', 'SIGTERM']},
+    {signals: ['SIGTERM', 'SIGINT', 'SIGHUP']},
+    {signals: ['SIGINT', 'SIGHUP', 'SIGTERM']},
+  ] as const)(
+    'stops once and cuts no request on $signals in series',
+    async ({signals}) => {
+      const {child, output} = start();
+      await waitUntil(() => output.join('').includes('nodeStarted'));
+      const {client} = await LineClient.open(
+        PORTS.callers,
+        'own red-key',
+        HOST,
+      );
+      await expect
+        .poll(async () => (await client.query('READ a')).end)
+        .toMatch(/^DONE/);
+      for (const {faults} of platform.group.databases) faults.serviceMs = 40;
+      const ends: string[] = [];
+      const using = (async () => {
+        for (let n = 0; ends.at(-1)?.startsWith('ERROR') !== true; n++)
+          ends.push((await client.query(`WRITE a ${n}`)).end);
+      })();
+      for (const signal of signals) {
+        child.kill(signal);
+        await sleep(300);
+      }
+      const [[code]] = await Promise.all([
+        once(child, 'exit') as Promise<[number]>,
+        using,
+      ]);
+      for (const {faults} of platform.group.databases) faults.serviceMs = 0;
+      expect(code).toBe(0);
+      expect(ends.at(-1)).toMatch(/^ERROR BUSY/);
+      expect(ends.slice(0, -1).every(end => end.startsWith('DONE'))).toBe(true);
+      const lines = output.join('');
+      expect(lines.match(/event=shutdownStarted/g)).toHaveLength(1);
+      expect(lines.match(/event=shutdownFinished/g)).toHaveLength(1);
+      expect(lines).toContain(`trigger=${signals[0]}`);
+    },
+    15_000,
+  );
+
+  it('stops on a signal that arrives while it starts', async () => {
+    platform.store.faults.silent = true;
+    const {child, output} = start();
+    const readiness = `http://${HOST}:${PORTS.ready}/readiness`;
+    await expect.poll(() => statusOf(readiness), {timeout: 10_000}).toBe(503);
+    child.kill('SIGTERM');
+    child.kill('SIGINT');
+    const [code] = (await once(child, 'exit')) as [number];
+    platform.store.faults.silent = false;
+    expect(code).toBe(0);
+    expect(output.join('')).toContain('event=shutdownFinished');
+  });
 });
