--- a/src/catalog/announcement-order.ts
+++ b/src/catalog/announcement-order.ts
@@ -26,7 +26,7 @@
 export interface LastAnnouncement extends PlacedAnnouncement {
   /** Whether the store has removed the entry since. */
   readonly isGone: boolean;
-  /** A later announcement that was not used, of an earlier process. */
+  /** A later announcement that was not used, if it was the last one. */
   readonly refused?: AnnouncedDatabase | undefined;
 }
 
@@ -53,12 +53,17 @@
   }
   const isRepeated = entry.sequence === known.sequence;
   if (isRepeated && mayBeFromCopy && last.isGone) return 'olderReport';
-  if (entry.sequence < known.sequence) return 'olderReport';
+  if (entry.sequence < known.sequence) {
+    // Another writer may have set the sequence too high. A report that a store
+    // carries out late is followed by a later one than is known, not by its own.
+    const isResumed = !mayBeFromCopy && isContinued(last.refused, entry);
+    if (!isResumed) return 'olderReport';
+  }
   if (known.isDraining && !entry.isDraining) return 'drainIsFinal';
   return undefined;
 }
 
-/** Whether the process of a refused announcement goes on announcing itself. */
+/** Whether the sender of a refused announcement goes on from its sequence. */
 function isContinued(
   refused: AnnouncedDatabase | undefined,
   {startedAt, sequence}: AnnouncedDatabase,
