--- a/src/home/transaction-statements.ts
+++ b/src/home/transaction-statements.ts
@@ -66,19 +66,12 @@
       return failedStatement(this.#rolledBack(pin), 'failed');
     }
     const {member, slot, claim} = open;
-    const refusal = member.isCold
-      ? await this.#awaitColdLimit(member, deadlineAt)
-      : undefined;
+    const refusal = await this.#refusalOf(req, open, deadlineAt);
     if (refusal !== undefined) {
       leave();
       transactions.rollBack(slot);
       return failedStatement(rolledBackVerdict(refusal), 'failed');
     }
-    if (claim?.isValid === false) {
-      leave();
-      transactions.rollBack(slot);
-      return failedStatement(rolledBackVerdict(replaced(member)), 'failed');
-    }
     const endWork = member.trackWork(
       slot.connection,
       `open ${workKindOf(req)}`,
@@ -103,6 +96,20 @@
     }
   }
 
+  /** Why a transaction ends instead of running its next statement, if it does. */
+  async #refusalOf(
+    {team}: StatementRequest,
+    {member, slot, claim}: OpenTransaction,
+    deadlineAt: number,
+  ): Promise<NotRun | undefined> {
+    if (slot.connection.team !== team) return movedTo(team);
+    const refusal = member.isCold
+      ? await this.#awaitColdLimit(member, deadlineAt)
+      : undefined;
+    if (refusal !== undefined) return refusal;
+    return claim?.isValid === false ? replaced(member) : undefined;
+  }
+
   #rolledBack(pin: string): NotRun {
     const dataCentre = this.#evacuated.dataCentreOf(pin);
     const cause =
@@ -185,3 +192,8 @@
 function replaced({id}: GroupMember): NotRun {
   return notRun('noPrimary', `database ${id} was replaced as primary`);
 }
+
+/** The configuration gave the caller's key to another team meanwhile. */
+function movedTo(team: string): NotRun {
+  return notRun('notAuthorised', `its key belongs to team ${team} now`);
+}
