--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -1,5 +1,6 @@
 /** Structured logging: one line of key=value pairs per event. */
 import {createConsola, type LogObject} from 'consola/core';
+import {lineWriter} from './log-output.js';
 
 /** Value of a log field; undefined omits the field. */
 export type LogValue = string | number | boolean | undefined;
@@ -106,7 +107,7 @@
 export function createLogger(
   level: LogLevel,
   fields: LogFields = {},
-  write: (line: string) => void = line => process.stderr.write(line),
+  write: (line: string) => void = writeToStderr,
 ): Logger {
   const log = (entry: LogObject) => {
     const body = (entry.args[0] ?? {}) as LogFields;
@@ -121,3 +122,10 @@
   });
   return new ConsolaLogger(consola, fields);
 }
+
+let stderrWriter: ((line: string) => void) | undefined;
+
+function writeToStderr(line: string): void {
+  stderrWriter ??= lineWriter(process.stderr);
+  stderrWriter(line);
+}
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -159,4 +159,22 @@
     expect(code).toBe(0);
     expect(node.text).toContain('event=shutdownFinished');
   });
+
+  // A write to the closed pipe ended the process, with the requests of all callers.
+  it('goes on, and stops regularly, once nobody reads its log', async () => {
+    const node = start();
+    await waitUntil(() => node.text.includes('nodeStarted'));
+    const {client} = await LineClient.open(PORTS.callers, 'own red-key', HOST);
+    await expect
+      .poll(async () => (await client.query('READ a')).end)
+      .toMatch(/^DONE/);
+    node.child.stdout?.destroy();
+    for (let n = 0; n < 10; n++) {
+      const refused = await LineClient.open(PORTS.callers, `no-${n} x`, HOST);
+      expect(refused.hello).toMatch(/^ERROR NODB/);
+    }
+    expect((await client.query('WRITE a 1')).end).toMatch(/^DONE/);
+    node.kill('SIGTERM');
+    expect(await node.exited()).toBe(0);
+  });
 });
